Add the design page, the layers and the shared interfaces

Cause: the repository is empty and several people start at once. Change: the design page and glossary, the build with one library and one test program per layer, format and lint rules, the interfaces of outside systems, the peer messages, the control loop and the gateways between the request path and the coordination parts. Conclusion: the parts can be built independently against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+BUILD := build/release
+JOBS ?= 8
+SEED ?= 1
+POLICY ?= hawthornslip
+
+.PHONY: all setup build test sanitize run bench matrix format format-check lint install clean
+
+all: build
+
+setup:
+	@tools/setup.sh
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja >&2
+	@cmake --build $(BUILD) -j $(JOBS) >&2
+
+test: build sanitize
+	ctest --test-dir $(BUILD) --output-on-failure
+
+# Runs the tests of the core and the decision modules under both sanitizers.
+sanitize: setup
+	@for it in address thread; do \
+	    cmake -S . -B build/$$it -G Ninja -DHAWTHORNSLIP_DAEMON=OFF -DHAWTHORNSLIP_SANITIZE=$$it >&2 && \
+	    cmake --build build/$$it -j $(JOBS) >&2 && \
+	    ctest --test-dir build/$$it --output-on-failure || exit 1; \
+	done
+
+run: build
+	@tools/run_example.sh $(BUILD)
+
+bench: build
+	@$(BUILD)/bench_runner --scenario $(SCENARIO) --seed $(SEED) --policy $(POLICY)
+
+matrix: build
+	@tools/matrix.sh $(BUILD)
+
+format:
+	@tools/format.sh
+
+format-check: setup
+	@tools/format.sh --check
+
+lint: build
+	@JOBS=$(JOBS) tools/lint.sh
+
+install: build
+	cmake --install $(BUILD) --prefix $(or $(PREFIX),/usr/local)
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/modules/ownership/rendezvous_hash.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <string_view>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * Picks the owner of @p key among @p nodes by rendezvous hashing: when a node leaves, only the keys
+ * that it owned move.
+ *
+ * @return the winning node, or an empty id when @p nodes is empty.
+ */
+NodeId rendezvousOwner(std::string_view key, const std::vector<NodeId> &nodes);
+
+/** @return the @p n best nodes for @p key in order, best first. */
+std::vector<NodeId> rendezvousOrder(std::string_view key, const std::vector<NodeId> &nodes,
+                                    std::size_t n);
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/peer/control_loop.cpp
@@ -0,0 +1,106 @@
+#include "servers/peer/control_loop.h"
+
+#include <algorithm>
+#include <future>
+
+namespace hawthornslip {
+
+namespace {
+
+// Bounds the sleep, so that a clock which is advanced by hand is noticed.
+constexpr auto kLongestSleep = std::chrono::milliseconds(50);
+
+} // namespace
+
+ControlLoop::ControlLoop(const Clock &clock)
+    : m_clock(clock)
+{}
+
+ControlLoop::~ControlLoop()
+{
+    stop();
+}
+
+void ControlLoop::start()
+{
+    m_thread = std::thread([this] { runLoop(); });
+}
+
+void ControlLoop::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void ControlLoop::post(Task task)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tasks.push_back(std::move(task));
+    }
+    m_wake.notify_one();
+}
+
+void ControlLoop::run(Task task)
+{
+    std::promise<void> done;
+    post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void ControlLoop::after(Duration delay, Task task)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_timers.emplace(m_clock.now() + delay, std::move(task));
+    }
+    m_wake.notify_one();
+}
+
+void ControlLoop::every(Duration interval, Task task)
+{
+    after(interval, [this, interval, task = std::move(task)]() mutable {
+        task();
+        every(interval, std::move(task));
+    });
+}
+
+bool ControlLoop::onLoopThread() const
+{
+    return std::this_thread::get_id() == m_thread.get_id();
+}
+
+void ControlLoop::runLoop()
+{
+    std::vector<Task> due;
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        due.swap(m_tasks);
+        while (!m_timers.empty() && m_timers.begin()->first <= m_clock.now()) {
+            due.push_back(std::move(m_timers.begin()->second));
+            m_timers.erase(m_timers.begin());
+        }
+        if (due.empty()) {
+            auto sleep = std::chrono::duration_cast<Duration>(kLongestSleep);
+            if (!m_timers.empty())
+                sleep = std::min(sleep, m_timers.begin()->first - m_clock.now());
+            m_wake.wait_for(lock, sleep);
+            continue;
+        }
+        lock.unlock();
+        for (auto &it : due)
+            it();
+        due.clear();
+        lock.lock();
+    }
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/tests/core/logger_test.cpp
@@ -0,0 +1,39 @@
+#include "core/logger.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace hawthornslip {
+
+class LoggerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LoggerTest);
+    CPPUNIT_TEST(lineIsJson);
+    CPPUNIT_TEST(hostileTextStaysOneLine);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a line that log collectors cannot parse.
+    void lineIsJson()
+    {
+        const auto line = formatLogLine(1'700'000'000'123, LogLevel::Warning, "refused",
+                                        {{"reason", "queue_full"}, {"waited_ms", 12}});
+        const auto parsed = nlohmann::json::parse(line);
+        CPPUNIT_ASSERT_EQUAL(std::string("2023-11-14T22:13:20.123Z"),
+                             parsed.at("time").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("warning"), parsed.at("level").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(12, parsed.at("waited_ms").get<int>());
+    }
+
+    // Guards against a caller who forges log lines through a header value.
+    void hostileTextStaysOneLine()
+    {
+        const auto line = formatLogLine(0, LogLevel::Info, "x", {{"value", "a\n\"}\xff"}});
+        CPPUNIT_ASSERT(line.find('\n') == std::string::npos);
+        CPPUNIT_ASSERT(nlohmann::json::accept(line));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoggerTest);
+
+} // namespace hawthornslip
--- /dev/null
+++ b/tests/core/reasons_test.cpp
@@ -0,0 +1,25 @@
+#include "core/reasons.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+class ReasonsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ReasonsTest);
+    CPPUNIT_TEST(tableFollowsEnumeration);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a reason that is reported under another one's name or status.
+    void tableFollowsEnumeration()
+    {
+        for (std::size_t i = 0; i < kReasons.size(); ++i)
+            CPPUNIT_ASSERT_EQUAL(i, static_cast<std::size_t>(kReasons[i].reason));
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(Reason::Internal) + 1, kReasons.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReasonsTest);
+
+} // namespace hawthornslip
