--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -16,7 +16,7 @@
 hawthornslip_layer(drivers)
 target_include_directories(hawthornslip_drivers SYSTEM PRIVATE ${HAWTHORNSLIP_PROMETHEUS_INCLUDE})
 target_link_libraries(hawthornslip_drivers PUBLIC hawthornslip_core PkgConfig::ZMQ PkgConfig::SODIUM
-    PkgConfig::ULFIUS PkgConfig::CURL tomlplusplus -l:libprometheus-cpp-core.so.1.0)
+    PkgConfig::ULFIUS PkgConfig::CURL -l:libprometheus-cpp-core.so.1.0)
 hawthornslip_layer(servers)
 target_link_libraries(hawthornslip_servers PUBLIC hawthornslip_modules hawthornslip_proto PkgConfig::SODIUM)
 
