--- a/core/interfaces/upstream_client.h
+++ b/core/interfaces/upstream_client.h
@@ -25,6 +25,11 @@
     /** Longest silence between two pieces of the answer; zero means no limit. */
     Duration idleTimeout{0};
     Duration totalTimeout = seconds(120);
+    /**
+     * Forbids the driver to send the request a second time by itself. Clients commonly repeat a
+     * request when a kept-alive connection turns out to be closed.
+     */
+    bool sendOnce = false;
 };
 
 /** How a call to a back end ended. */
