--- a/servers/security/key_hasher.cpp
+++ b/servers/security/key_hasher.cpp
@@ -16,8 +16,8 @@
 void initialiseSodium()
 {
     // Without a source of random numbers neither keys nor request ids are safe.
-    static const bool ready = sodium_init() >= 0;
-    if (!ready)
+    static const bool kReady = sodium_init() >= 0;
+    if (!kReady)
         std::abort();
 }
 
