--- /dev/null
+++ b/modules/estimation/tests/length_estimator_test.cpp
@@ -0,0 +1,69 @@
+#include "modules/estimation/length_estimator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <random>
+
+namespace hawthornslip {
+
+class LengthEstimatorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LengthEstimatorTest);
+    CPPUNIT_TEST(priorGivesWayToObservations);
+    CPPUNIT_TEST(quantilesFollowLongTail);
+    CPPUNIT_TEST(remainingGrowsWithTokensDone);
+    CPPUNIT_TEST(cutOffAnswersDoNotShortenTheEstimate);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a scheduler that keeps planning with the configured length.
+    void priorGivesWayToObservations()
+    {
+        LengthEstimator lengths(200);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(200, lengths.remaining(0.5), 30);
+        for (int i = 0; i < 100; ++i)
+            lengths.observe(2000);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2000, lengths.remaining(0.5), 200);
+    }
+
+    // Guards against a mean that hides the few very long answers.
+    void quantilesFollowLongTail()
+    {
+        LengthEstimator lengths(200);
+        std::mt19937_64 random(7);
+        std::lognormal_distribution<double> draw(std::log(300.0), 1.2);
+        for (int i = 0; i < 5000; ++i)
+            lengths.observe(static_cast<std::uint32_t>(draw(random)) + 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(300, lengths.remaining(0.5), 60);
+        const double q90 = 300 * std::exp(1.2816 * 1.2);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(q90, lengths.remaining(0.9), 0.25 * q90);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.9, lengths.probabilityWithin(q90), 0.04);
+    }
+
+    // Guards against taking a long-running answer of a long-tailed profile for nearly done.
+    void remainingGrowsWithTokensDone()
+    {
+        LengthEstimator lengths(200);
+        std::mt19937_64 random(8);
+        std::lognormal_distribution<double> draw(std::log(200.0), 1.2);
+        for (int i = 0; i < 2000; ++i)
+            lengths.observe(static_cast<std::uint32_t>(draw(random)) + 1);
+        CPPUNIT_ASSERT(lengths.meanRemaining(1000) > 1.5 * lengths.meanRemaining(0));
+    }
+
+    // Guards against callers who leave early making all answers look short.
+    void cutOffAnswersDoNotShortenTheEstimate()
+    {
+        LengthEstimator lengths(200);
+        for (int i = 0; i < 200; ++i) {
+            lengths.observe(1000);
+            lengths.observeCutOff(50);
+        }
+        CPPUNIT_ASSERT(lengths.remaining(0.5) > 800);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LengthEstimatorTest);
+
+} // namespace hawthornslip
