Limit workspaces by rate and upstreams by observed times

Cause: engines are unequal, and each node sees only a part of a workspace's requests. Change: token bucket, workspace limiter with the node's share, and a concurrency limit that rises by a step within the targets and is cut by a factor beyond them.

--- /dev/null
+++ b/modules/limits/tests/limits_test.cpp
@@ -0,0 +1,103 @@
+#include "modules/limits/concurrency_limiter.h"
+#include "modules/limits/workspace_limiter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+class LimitsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LimitsTest);
+    CPPUNIT_TEST(workspaceGetsItsShareOfRate);
+    CPPUNIT_TEST(workspacesDoNotSpendEachOthersRate);
+    CPPUNIT_TEST(limitSettlesWhereTargetIsMet);
+    CPPUNIT_TEST(limitDoesNotRiseUnused);
+    CPPUNIT_TEST(overloadCutsLimit);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr TimePoint kStart{seconds(1000)};
+
+public:
+    // Guards against n nodes that together let n times the rate through.
+    void workspaceGetsItsShareOfRate()
+    {
+        WorkspaceLimiter limiter;
+        Workspace workspace;
+        workspace.id = WorkspaceId("a");
+        workspace.requestsPerSecond = 30;
+        workspace.burstRequests = 30;
+        int admitted = 0;
+        for (int ms = 0; ms < 10'000; ++ms) {
+            if (limiter.admit(workspace, 3, kStart + milliseconds(ms)) == Duration(0))
+                ++admitted;
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(10 + 10 * 10, admitted, 1);
+        const auto now = kStart + milliseconds(9'999);
+        const auto wait = limiter.admit(workspace, 3, now);
+        CPPUNIT_ASSERT(wait > Duration(0));
+        CPPUNIT_ASSERT(limiter.admit(workspace, 3, now + wait) == Duration(0));
+    }
+
+    // Guards against one busy workspace that locks out the others.
+    void workspacesDoNotSpendEachOthersRate()
+    {
+        WorkspaceLimiter limiter;
+        Workspace a;
+        a.id = WorkspaceId("a");
+        a.burstRequests = 2;
+        Workspace b = a;
+        b.id = WorkspaceId("b");
+        for (int i = 0; i < 10; ++i)
+            limiter.admit(a, 1, kStart);
+        CPPUNIT_ASSERT(limiter.admit(a, 1, kStart) > Duration(0));
+        CPPUNIT_ASSERT(limiter.admit(b, 1, kStart) == Duration(0));
+    }
+
+    // Guards against a limit that ignores how fast the upstream is. The model upstream meets its
+    // target up to 40 requests at a time.
+    void limitSettlesWhereTargetIsMet()
+    {
+        ConcurrencyLimiter limiter(200);
+        TimePoint now = kStart;
+        double low = 1000;
+        double high = 0;
+        for (int step = 0; step < 4000; ++step) {
+            now += milliseconds(50);
+            const double inFlight = limiter.limit();
+            limiter.observe(inFlight / 40);
+            limiter.update(static_cast<std::uint32_t>(inFlight), now);
+            if (step > 2000) {
+                low = std::min(low, limiter.limit());
+                high = std::max(high, limiter.limit());
+            }
+        }
+        CPPUNIT_ASSERT(low > 25);
+        CPPUNIT_ASSERT(high < 45);
+    }
+
+    // Guards against a limit that rises on a quiet day and is far too high at the next burst.
+    void limitDoesNotRiseUnused()
+    {
+        ConcurrencyLimiter limiter(200);
+        TimePoint now = kStart;
+        for (int step = 0; step < 1000; ++step) {
+            now += milliseconds(50);
+            limiter.observe(0.1);
+            limiter.update(5, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(100.0, limiter.limit());
+    }
+
+    // Guards against more requests for an upstream that refuses them.
+    void overloadCutsLimit()
+    {
+        ConcurrencyLimiter limiter(100);
+        limiter.observeOverload();
+        limiter.update(50, kStart);
+        CPPUNIT_ASSERT(limiter.limit() < 40);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitsTest);
+
+} // namespace hawthornslip
