Decide on retries and hedges within a budget

Cause: repeats must not multiply the load of a failing system, and no order may run twice. Change: RetryBudget, RetryPolicy and HedgePolicy.

--- /dev/null
+++ b/modules/retry/retry_budget.cpp
@@ -0,0 +1,34 @@
+#include "modules/retry/retry_budget.h"
+
+#include <algorithm>
+
+namespace hawthornslip {
+
+namespace {
+
+// A start with a few repeats lets the first failures after a restart be repeated; the bound keeps a
+// quiet day from paying for a burst of repeats.
+constexpr double kInitial = 3;
+constexpr double kMaximum = 20;
+
+} // namespace
+
+RetryBudget::RetryBudget(double ratio)
+    : m_ratio(ratio)
+    , m_balance(ratio > 0 ? kInitial : 0)
+{}
+
+void RetryBudget::onSuccess()
+{
+    m_balance = std::min(kMaximum, m_balance + m_ratio);
+}
+
+bool RetryBudget::tryTake()
+{
+    if (m_balance < 1)
+        return false;
+    m_balance -= 1;
+    return true;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/retry/tests/retry_test.cpp
@@ -0,0 +1,88 @@
+#include "modules/retry/hedge_policy.h"
+#include "modules/retry/retry_policy.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+class RetryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetryTest);
+    CPPUNIT_TEST(nonIdempotentIsRepeatedOnlyWhenNotRun);
+    CPPUNIT_TEST(relayedTokensAreNeverRepeated);
+    CPPUNIT_TEST(repeatsStayWithinBudget);
+    CPPUNIT_TEST(noRepeatAfterDeadline);
+    CPPUNIT_TEST(hedgeOnlyForIdempotent);
+    CPPUNIT_TEST_SUITE_END();
+
+    static FailedAttempt failure(bool notRun, std::uint32_t tokens = 0)
+    {
+        return {notRun, 1, tokens, seconds(10)};
+    }
+
+public:
+    // Guards against an order that runs twice (invariant I5).
+    void nonIdempotentIsRepeatedOnlyWhenNotRun()
+    {
+        RetryBudget budget(0.1);
+        Profile order;
+        order.idempotent = false;
+        CPPUNIT_ASSERT(RetryPolicy::decide(order, failure(false), budget) == RetryDecision::Stop);
+        CPPUNIT_ASSERT(RetryPolicy::decide(order, failure(true), budget) == RetryDecision::Retry);
+    }
+
+    // Guards against a caller who gets the beginning of an answer twice.
+    void relayedTokensAreNeverRepeated()
+    {
+        RetryBudget budget(0.1);
+        Profile chat;
+        CPPUNIT_ASSERT(RetryPolicy::decide(chat, failure(false, 7), budget) ==
+                       RetryDecision::Resume);
+        chat.resumable = false;
+        CPPUNIT_ASSERT(RetryPolicy::decide(chat, failure(false, 7), budget) == RetryDecision::Stop);
+    }
+
+    // Guards against repeats that multiply the load of a failing system.
+    void repeatsStayWithinBudget()
+    {
+        RetryBudget budget(0.1);
+        int repeats = 0;
+        for (int i = 0; i < 1000; ++i) {
+            if (i % 2 == 0)
+                budget.onSuccess();
+            else if (RetryPolicy::decide(Profile{}, failure(true), budget) == RetryDecision::Retry)
+                ++repeats;
+        }
+        CPPUNIT_ASSERT(repeats <= 53);
+        CPPUNIT_ASSERT(repeats >= 45);
+    }
+
+    // Guards against work that is thrown away because its deadline has passed.
+    void noRepeatAfterDeadline()
+    {
+        RetryBudget budget(0.1);
+        FailedAttempt failed = failure(true);
+        failed.remaining = milliseconds(5);
+        CPPUNIT_ASSERT(RetryPolicy::decide(Profile{}, failed, budget) == RetryDecision::Stop);
+    }
+
+    // Guards against a hedge that runs an order twice, and against one before anything is known.
+    void hedgeOnlyForIdempotent()
+    {
+        HedgePolicy hedge;
+        Profile chat;
+        CPPUNIT_ASSERT(!hedge.delay(chat));
+        for (int i = 0; i < 100; ++i)
+            hedge.observeFirstToken(milliseconds(i < 97 ? 400 : 5000));
+        const auto delay = hedge.delay(chat);
+        CPPUNIT_ASSERT(delay && *delay >= milliseconds(350) && *delay <= milliseconds(700));
+        chat.idempotent = false;
+        CPPUNIT_ASSERT(!hedge.delay(chat));
+        RetryBudget budget(0.1);
+        CPPUNIT_ASSERT(!HedgePolicy::mayStart(chat, budget));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryTest);
+
+} // namespace hawthornslip
