--- /dev/null
+++ b/modules/admission/fair_queue.cpp
@@ -0,0 +1,172 @@
+#include "modules/admission/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr double kMinWeight = 0.001;
+
+} // namespace
+
+FairQueue::FairQueue(bool fair)
+    : m_fair(fair)
+{}
+
+const WorkspaceId &FairQueue::flowOf(const WorkspaceId &workspace) const
+{
+    return m_fair ? workspace : m_shared;
+}
+
+void FairQueue::activate(Flow &flow)
+{
+    // An idle workspace saves up no share, but a debt from corrected costs stays.
+    flow.start = std::max(flow.start, m_virtualTime);
+    m_active.insert({{flow.start, flow.number}, &flow});
+    m_activeWeight += flow.weight;
+}
+
+void FairQueue::deactivate(Flow &flow)
+{
+    m_active.erase({{flow.start, flow.number}, &flow});
+    m_activeWeight = m_active.empty() ? 0 : m_activeWeight - flow.weight;
+}
+
+void FairQueue::push(QueuedAsk item)
+{
+    item.sequence = m_nextSequence++;
+    const auto [it, isNew] = m_items.emplace(item.ask.key, std::move(item));
+    if (!isNew)
+        return;
+    const QueuedAsk &stored = it->second;
+    auto [place, isNewFlow] = m_flows.try_emplace(flowOf(stored.ask.workspace));
+    Flow &flow = place->second;
+    if (isNewFlow)
+        flow.number = m_nextFlow++;
+    if (flow.items.empty()) {
+        flow.weight = std::max(kMinWeight, stored.ask.workspaceWeight);
+        activate(flow);
+    }
+    flow.items.insert({{stored.startBy, stored.sequence}, &stored});
+    flow.cost += stored.cost;
+    m_totalCost += stored.cost;
+}
+
+QueuedAsk FairQueue::detach(Flow &flow, const AttemptKey &key)
+{
+    auto node = m_items.extract(key);
+    QueuedAsk item = std::move(node.mapped());
+    flow.items.erase({{item.startBy, item.sequence}, &node.mapped()});
+    flow.cost = flow.items.empty() ? 0 : flow.cost - item.cost;
+    m_totalCost = m_items.empty() ? 0 : m_totalCost - item.cost;
+    return item;
+}
+
+std::optional<QueuedAsk> FairQueue::remove(const AttemptKey &key)
+{
+    const auto it = m_items.find(key);
+    if (it == m_items.end())
+        return std::nullopt;
+    Flow &flow = m_flows.find(flowOf(it->second.ask.workspace))->second;
+    if (flow.items.size() == 1)
+        deactivate(flow);
+    return detach(flow, key);
+}
+
+const QueuedAsk *FairQueue::head(std::size_t n) const
+{
+    if (n >= m_active.size())
+        return nullptr;
+    const auto it = std::next(m_active.begin(), static_cast<std::ptrdiff_t>(n));
+    return it->second->items.begin()->second;
+}
+
+QueuedAsk FairQueue::take(const AttemptKey &key)
+{
+    Flow &flow = m_flows.find(flowOf(m_items.find(key)->second.ask.workspace))->second;
+    m_virtualTime = std::max(m_virtualTime, m_active.begin()->first.first);
+    deactivate(flow);
+    QueuedAsk item = detach(flow, key);
+    flow.start += item.cost / flow.weight;
+    if (!flow.items.empty())
+        activate(flow);
+    return item;
+}
+
+void FairQueue::correct(const WorkspaceId &workspace, double weight, double difference)
+{
+    const auto it = m_flows.find(flowOf(workspace));
+    if (it == m_flows.end())
+        return;
+    Flow &flow = it->second;
+    const bool active = !flow.items.empty();
+    if (active)
+        deactivate(flow);
+    flow.start += difference / std::max(kMinWeight, weight);
+    if (active)
+        activate(flow);
+}
+
+std::vector<QueuedAsk> FairQueue::takeExpired(TimePoint now, bool deadlineOnly)
+{
+    std::vector<AttemptKey> keys;
+    for (const auto &[order, flow] : m_active) {
+        for (const auto &[place, item] : flow->items) {
+            const bool late = !deadlineOnly && item->startBy < now;
+            if (!late && item->deadline > now)
+                break;
+            keys.push_back(item->ask.key);
+        }
+    }
+    std::vector<QueuedAsk> expired;
+    expired.reserve(keys.size());
+    for (const auto &it : keys)
+        expired.push_back(*remove(it));
+    return expired;
+}
+
+void FairQueue::removeNode(const NodeId &node)
+{
+    std::vector<AttemptKey> keys;
+    for (const auto &[key, item] : m_items) {
+        if (item.ask.node == node)
+            keys.push_back(key);
+    }
+    for (const auto &it : keys)
+        remove(it);
+}
+
+void FairQueue::expireIdle()
+{
+    std::erase_if(m_flows, [&](const auto &it) {
+        return it.second.items.empty() && it.second.start <= m_virtualTime;
+    });
+}
+
+double FairQueue::workAhead(const WorkspaceId &workspace, double weight, TimePoint startBy) const
+{
+    const auto it = m_flows.find(flowOf(workspace));
+    double start = m_virtualTime;
+    double own = 0;
+    bool active = false;
+    if (it != m_flows.end()) {
+        const Flow &flow = it->second;
+        start = std::max(start, flow.start);
+        active = !flow.items.empty();
+        if (active && startBy >= flow.items.begin()->second->startBy) {
+            // The rank among the own requests is estimated from the span of their times.
+            const auto first = flow.items.begin()->first.first;
+            const auto last = flow.items.rbegin()->first.first;
+            const double span = toSeconds(last - first);
+            const double part = span > 0 ? toSeconds(startBy - first) / span : 1;
+            own = flow.cost * std::clamp(part, 0.0, 1.0);
+        }
+    }
+    const double weights = m_activeWeight + (active ? 0 : weight);
+    const double turn = start + own / std::max(kMinWeight, weight) - m_virtualTime;
+    return std::min(m_totalCost, turn * weights);
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/fifo_scheduler.cpp
@@ -0,0 +1,225 @@
+#include "modules/admission/fifo_scheduler.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr Duration kReportGrace = seconds(5);
+
+} // namespace
+
+FifoScheduler::FifoScheduler(const SchedulerOptions &options, SchedulingPolicy policy)
+    : m_options(options)
+    , m_policy(policy)
+    , m_grants(options.grantPrefix)
+{}
+
+std::uint32_t FifoScheduler::capacityOf(const Slots &slots) const
+{
+    if (!slots.info.acceptsWork)
+        return 0;
+    return std::max(1U, static_cast<std::uint32_t>(slots.info.maxConcurrency * m_share));
+}
+
+std::optional<std::size_t> FifoScheduler::pick()
+{
+    const std::size_t n = m_upstreams.size();
+    std::optional<std::size_t> best;
+    for (std::size_t step = 0; step < n; ++step) {
+        const std::size_t i = (m_next + step) % n;
+        const Slots &slots = m_upstreams[i];
+        if (slots.inFlight >= capacityOf(slots))
+            continue;
+        if (!best || slots.inFlight < m_upstreams[*best].inFlight)
+            best = i;
+        if (m_policy == SchedulingPolicy::RoundRobin)
+            break;
+    }
+    if (best)
+        m_next = *best + 1;
+    return best;
+}
+
+SchedulerActions FifoScheduler::onAsk(const AskEvent &event, TimePoint now)
+{
+    SchedulerActions actions;
+    if (const GrantRecord *held = m_grants.findAttempt(event.key)) {
+        actions.emplace_back(GrantAction{event.key, event.node, held->id, held->upstreamId});
+        return actions;
+    }
+    if (m_places.count(event.key) > 0)
+        return actions;
+    const bool any = std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                                 [](const Slots &it) { return it.info.acceptsWork; });
+    if (!any || m_queue.size() >= m_options.queueBound) {
+        ++m_stats.refusals;
+        const Reason reason = any ? Reason::QueueFull : Reason::NoUpstream;
+        actions.emplace_back(RefuseAction{event.key, event.node, reason, seconds(1)});
+        return actions;
+    }
+    m_queue.push_back({event, now + event.remaining});
+    m_places[event.key] = std::prev(m_queue.end());
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions FifoScheduler::onCancel(const AttemptKey &key, TimePoint /*now*/)
+{
+    const auto it = m_places.find(key);
+    if (it != m_places.end()) {
+        m_queue.erase(it->second);
+        m_places.erase(it);
+    }
+    return {};
+}
+
+void FifoScheduler::dispatch(TimePoint now, SchedulerActions &actions)
+{
+    while (!m_queue.empty()) {
+        const bool late = m_queue.front().deadline <= now;
+        const std::size_t upstream = late ? 0 : pick().value_or(m_upstreams.size());
+        if (!late && upstream == m_upstreams.size())
+            return;
+        const AskEvent ask = std::move(m_queue.front().ask);
+        m_queue.pop_front();
+        m_places.erase(ask.key);
+        if (late) {
+            ++m_stats.refusals;
+            actions.emplace_back(
+                    RefuseAction{ask.key, ask.node, Reason::DeadlineExceeded, Duration(0)});
+            continue;
+        }
+        GrantRecord record;
+        record.key = ask.key;
+        record.node = ask.node;
+        record.upstream = upstream;
+        record.upstreamId = m_upstreams[upstream].info.id;
+        record.tier = ask.profile->tier;
+        record.since = now;
+        const GrantRecord &stored = m_grants.add(std::move(record));
+        ++m_upstreams[upstream].inFlight;
+        ++m_stats.grants;
+        actions.emplace_back(GrantAction{ask.key, ask.node, stored.id, stored.upstreamId});
+    }
+}
+
+void FifoScheduler::drop(const GrantId &id)
+{
+    const GrantRecord record = m_grants.take(id);
+    --m_upstreams[record.upstream].inFlight;
+}
+
+SchedulerActions FifoScheduler::onRelease(const ReleaseEvent &event, TimePoint now)
+{
+    SchedulerActions actions;
+    m_grants.markReleased(event.grant, now);
+    if (m_grants.find(event.grant) != nullptr)
+        drop(event.grant);
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions FifoScheduler::onProgress(const ProgressEvent & /*event*/, TimePoint /*now*/)
+{
+    return {};
+}
+
+std::size_t FifoScheduler::findOrAdd(const UpstreamId &id)
+{
+    const auto it = std::find_if(m_upstreams.begin(), m_upstreams.end(),
+                                 [&](const Slots &slots) { return slots.info.id == id; });
+    if (it != m_upstreams.end())
+        return static_cast<std::size_t>(it - m_upstreams.begin());
+    m_upstreams.push_back({{id, false, 1}, 0});
+    return m_upstreams.size() - 1;
+}
+
+SchedulerActions FifoScheduler::onGrantReport(const GrantReportEvent &event, TimePoint now)
+{
+    std::unordered_set<GrantId> listed;
+    for (const auto &it : event.grants) {
+        listed.insert(it.grant);
+        if (m_grants.find(it.grant) != nullptr || m_grants.wasReleased(it.grant))
+            continue;
+        GrantRecord record;
+        record.id = it.grant;
+        record.key.request = it.request.empty() ? RequestId(it.grant.value) : it.request;
+        record.node = event.node;
+        record.upstream = findOrAdd(it.upstream);
+        record.upstreamId = it.upstream;
+        record.since = now - it.age;
+        ++m_upstreams[record.upstream].inFlight;
+        m_grants.restore(std::move(record));
+    }
+    for (const auto &it : m_grants.heldBy(event.node)) {
+        if (listed.count(it) == 0 && now - m_grants.find(it)->since > kReportGrace)
+            drop(it);
+    }
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions FifoScheduler::onUpstreams(const std::vector<UpstreamInfo> &upstreams,
+                                            TimePoint now)
+{
+    for (auto &it : m_upstreams)
+        it.info.acceptsWork = false;
+    for (const auto &it : upstreams)
+        m_upstreams[findOrAdd(it.id)].info = it;
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions FifoScheduler::onLoadReport(const LoadReportEvent & /*event*/, TimePoint /*now*/)
+{
+    return {};
+}
+
+SchedulerActions FifoScheduler::onNodeLost(const NodeId &node, TimePoint now)
+{
+    for (const auto &it : m_grants.heldBy(node))
+        drop(it);
+    for (auto it = m_queue.begin(); it != m_queue.end();) {
+        const bool lost = it->ask.node == node;
+        if (lost)
+            m_places.erase(it->ask.key);
+        it = lost ? m_queue.erase(it) : std::next(it);
+    }
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions FifoScheduler::onCapacityShare(double share, TimePoint now)
+{
+    m_share = share;
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions FifoScheduler::onTick(TimePoint now)
+{
+    SchedulerActions actions;
+    dispatch(now, actions);
+    m_grants.expire(now);
+    return actions;
+}
+
+GroupLoadInfo FifoScheduler::load(TimePoint /*now*/) const
+{
+    GroupLoadInfo info;
+    info.inFlight = static_cast<std::uint32_t>(m_grants.size());
+    info.queued = static_cast<std::uint32_t>(m_queue.size());
+    for (const auto &it : m_upstreams)
+        info.limit += capacityOf(it);
+    return info;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/fifo_scheduler.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/scheduling_policy.h"
+#include "modules/admission/grant_table.h"
+#include "modules/admission/group_scheduler.h"
+#include "modules/admission/scheduler_options.h"
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <unordered_map>
+
+namespace hawthornslip {
+
+/**
+ * The baseline: one FIFO queue for all tiers, fixed limits, and the next upstream in turn or the
+ * one with the fewest requests in flight. It refuses only when the queue is full or a deadline
+ * passed.
+ */
+class FifoScheduler : public GroupScheduler
+{
+public:
+    /** @param policy RoundRobin or LeastInFlight. */
+    FifoScheduler(const SchedulerOptions &options, SchedulingPolicy policy);
+
+    SchedulerActions onAsk(const AskEvent &event, TimePoint now) override;
+    SchedulerActions onCancel(const AttemptKey &key, TimePoint now) override;
+    SchedulerActions onRelease(const ReleaseEvent &event, TimePoint now) override;
+    SchedulerActions onProgress(const ProgressEvent &event, TimePoint now) override;
+    SchedulerActions onGrantReport(const GrantReportEvent &event, TimePoint now) override;
+    SchedulerActions onUpstreams(const std::vector<UpstreamInfo> &upstreams,
+                                 TimePoint now) override;
+    SchedulerActions onLoadReport(const LoadReportEvent &event, TimePoint now) override;
+    SchedulerActions onNodeLost(const NodeId &node, TimePoint now) override;
+    SchedulerActions onCapacityShare(double share, TimePoint now) override;
+    SchedulerActions onTick(TimePoint now) override;
+    GroupLoadInfo load(TimePoint now) const override;
+    const SchedulerStats &stats() const override { return m_stats; }
+
+private:
+    struct Waiting
+    {
+        AskEvent ask;
+        TimePoint deadline;
+    };
+    struct Slots
+    {
+        UpstreamInfo info;
+        std::uint32_t inFlight = 0;
+    };
+    using Queue = std::list<Waiting>;
+
+    std::uint32_t capacityOf(const Slots &slots) const;
+    std::optional<std::size_t> pick();
+    std::size_t findOrAdd(const UpstreamId &id);
+    void dispatch(TimePoint now, SchedulerActions &actions);
+    void drop(const GrantId &id);
+
+    SchedulerOptions m_options;
+    SchedulingPolicy m_policy;
+    GrantTable m_grants;
+    Queue m_queue;
+    std::unordered_map<AttemptKey, Queue::iterator, AttemptKeyHash> m_places;
+    std::vector<Slots> m_upstreams;
+    double m_share = 1;
+    std::size_t m_next = 0;
+    SchedulerStats m_stats;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/grant_table.cpp
@@ -0,0 +1,130 @@
+#include "modules/admission/grant_table.h"
+
+namespace hawthornslip {
+
+namespace {
+
+// Reports and releases of one grant may arrive this far apart and in either order.
+constexpr Duration kRememberReleased = seconds(30);
+
+std::size_t indexOf(int tier)
+{
+    return static_cast<std::size_t>(tier);
+}
+
+} // namespace
+
+GrantTable::GrantTable(std::string prefix)
+    : m_prefix(std::move(prefix))
+{}
+
+GrantTable::VictimKey GrantTable::victimKey(const GrantRecord &record)
+{
+    // A resumed stream has its prompt and the answer so far read again. The answers of a tier grow
+    // at about the same rate, so the order by start time and prompt does not change while they run.
+    const double tokenUs = static_cast<double>(record.profile->tokenTarget.count());
+    const auto sinceUs = static_cast<double>(record.since.time_since_epoch().count());
+    return {record.promptTokens + record.tokensDone - sinceUs / std::max(tokenUs, 1.0), record.id};
+}
+
+bool GrantTable::mayPreempt(const GrantRecord &record)
+{
+    return record.profile != nullptr && record.tier != kOrderTier && record.profile->resumable &&
+           record.profile->idempotent && !record.keepRunning && !record.preempting;
+}
+
+GrantRecord &GrantTable::insert(GrantRecord record)
+{
+    const GrantId id = record.id;
+    GrantRecord &stored = m_grants.insert_or_assign(id, std::move(record)).first->second;
+    m_byAttempt[stored.key] = id;
+    m_byNode[stored.node].insert(id);
+    ++m_inFlight[indexOf(stored.tier)];
+    if (mayPreempt(stored))
+        m_victims[indexOf(stored.tier)].insert(victimKey(stored));
+    return stored;
+}
+
+GrantRecord &GrantTable::add(GrantRecord record)
+{
+    record.id = GrantId(m_prefix + std::to_string(++m_counter));
+    return insert(std::move(record));
+}
+
+GrantRecord &GrantTable::restore(GrantRecord record)
+{
+    return insert(std::move(record));
+}
+
+GrantRecord *GrantTable::find(const GrantId &id)
+{
+    const auto it = m_grants.find(id);
+    return it == m_grants.end() ? nullptr : &it->second;
+}
+
+GrantRecord *GrantTable::findAttempt(const AttemptKey &key)
+{
+    const auto it = m_byAttempt.find(key);
+    return it == m_byAttempt.end() ? nullptr : find(it->second);
+}
+
+GrantRecord GrantTable::take(const GrantId &id)
+{
+    const auto it = m_grants.find(id);
+    GrantRecord record = std::move(it->second);
+    m_grants.erase(it);
+    const auto attempt = m_byAttempt.find(record.key);
+    if (attempt != m_byAttempt.end() && attempt->second == id)
+        m_byAttempt.erase(attempt);
+    const auto node = m_byNode.find(record.node);
+    node->second.erase(id);
+    if (node->second.empty())
+        m_byNode.erase(node);
+    --m_inFlight[indexOf(record.tier)];
+    if (record.preempting) {
+        --m_stopping[indexOf(record.tier)];
+        m_preempting.erase(id);
+    } else if (mayPreempt(record)) {
+        m_victims[indexOf(record.tier)].erase(victimKey(record));
+    }
+    return record;
+}
+
+void GrantTable::markReleased(const GrantId &id, TimePoint now)
+{
+    if (m_released.insert(id).second)
+        m_releasedOrder.emplace_back(now, id);
+}
+
+void GrantTable::expire(TimePoint now)
+{
+    while (!m_releasedOrder.empty() && now - m_releasedOrder.front().first > kRememberReleased) {
+        m_released.erase(m_releasedOrder.front().second);
+        m_releasedOrder.pop_front();
+    }
+}
+
+std::vector<GrantId> GrantTable::heldBy(const NodeId &node) const
+{
+    const auto it = m_byNode.find(node);
+    if (it == m_byNode.end())
+        return {};
+    return {it->second.begin(), it->second.end()};
+}
+
+GrantRecord *GrantTable::cheapestVictim(int tier)
+{
+    const auto &victims = m_victims[indexOf(tier)];
+    return victims.empty() ? nullptr : find(victims.begin()->second);
+}
+
+void GrantTable::startPreempting(GrantRecord &record, TimePoint now)
+{
+    m_victims[indexOf(record.tier)].erase(victimKey(record));
+    record.preempting = true;
+    record.preemptSent = now;
+    m_preempting.insert(record.id);
+    ++m_stopping[indexOf(record.tier)];
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/tiered_scheduler.cpp
@@ -0,0 +1,354 @@
+#include "modules/admission/tiered_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+// Reading a prompt token costs a small part of generating one.
+constexpr double kPromptCost = 0.05;
+// A request is worth starting when it meets its first-token target with this probability.
+constexpr double kFirstTokenQuantile = 0.75;
+// A request whose answer would end after the deadline more often than not is thrown-away work.
+constexpr double kLengthQuantile = 0.7;
+// A tier with demand gets one slot after this time whatever the others need (invariant I2).
+constexpr Duration kStarvation = seconds(5);
+// How many workspaces are tried when the first one's request cannot use the free upstreams.
+constexpr std::size_t kHeadsTried = 8;
+constexpr Duration kExpireInterval = seconds(1);
+constexpr Duration kNever = seconds(3600);
+
+} // namespace
+
+TieredScheduler::TieredScheduler(const SchedulerOptions &options)
+    : m_options(options)
+    , m_upstreams(options)
+    , m_grants(options.grantPrefix)
+    , m_queues{FairQueue(options.fairness), FairQueue(options.fairness),
+               FairQueue(options.fairness)}
+{}
+
+ServiceEstimator &TieredScheduler::estimator(const Profile &profile)
+{
+    return m_estimators.try_emplace(profile.name, profile).first->second;
+}
+
+QueuedAsk TieredScheduler::makeItem(const AskEvent &event, TimePoint now)
+{
+    const Profile &profile = *event.profile;
+    const ServiceEstimator &service = estimator(profile);
+    const double tokens = service.lengths().meanRemaining(event.tokensDone);
+    QueuedAsk item;
+    item.enqueued = now;
+    item.deadline = now + event.remaining;
+    item.cost = std::max(1.0, tokens + kPromptCost * (event.promptTokens + event.tokensDone));
+    item.affinity = PrefixAffinity::keyOf(event.workspace, event.prefixHash);
+    if (event.tokensDone > 0) {
+        // The caller of a resumed stream waits for its next token now.
+        item.startBy = now;
+    } else {
+        const double p = service.lengths().remaining(kLengthQuantile);
+        const auto answer = service.firstToken(0.5) +
+                            Duration(static_cast<std::int64_t>(
+                                    p * static_cast<double>(service.tokenTime().count())));
+        item.startBy = std::min(now + profile.firstTokenTarget - event.waited -
+                                        service.firstToken(kFirstTokenQuantile),
+                                item.deadline - answer);
+    }
+    item.ask = event;
+    return item;
+}
+
+double TieredScheduler::slotsFor(int tier) const
+{
+    const double total = m_upstreams.totalSlots();
+    if (tier == kOrderTier)
+        return total;
+    const double taken =
+            static_cast<double>(m_grants.inFlight(kOrderTier) + queue(kOrderTier).size());
+    const double rest = std::max(0.0, total - taken);
+    const double lowest = std::max(rest / (m_options.middleTierWeight + 1),
+                                   static_cast<double>(guaranteedSlots(kTierCount - 1)));
+    const bool lowestWaits = !queue(kTierCount - 1).empty();
+    const bool middleWaits = !queue(kTierCount - 2).empty();
+    if (tier == kTierCount - 1)
+        return middleWaits ? std::min(total, lowest) : std::max(rest, lowest);
+    return lowestWaits ? std::max(0.0, rest - lowest) : rest;
+}
+
+Duration TieredScheduler::expectedWait(int tier, double workAhead) const
+{
+    if (m_upstreams.freeSlots() > 0 && queue(tier).empty())
+        return Duration(0);
+    if (m_slotRate <= 0)
+        return Duration(0);
+    const double slots = slotsFor(tier);
+    if (slots <= 0)
+        return kNever;
+    // With no work ahead the wait is until the next slot of the tier is freed.
+    const double next = m_slotSeconds / slots / 2;
+    const double wait = std::min(next + workAhead / (slots * m_slotRate), toSeconds(kNever));
+    return Duration(static_cast<std::int64_t>(wait * 1e6));
+}
+
+std::optional<RefuseAction> TieredScheduler::refusalOnArrival(const QueuedAsk &item, TimePoint now)
+{
+    const AskEvent &ask = item.ask;
+    const int tier = ask.profile->tier;
+    const auto refusal = [&](Reason reason, Duration retryAfter) {
+        return RefuseAction{ask.key, ask.node, reason, retryAfter};
+    };
+    if (!m_upstreams.anyAccepts())
+        return refusal(Reason::NoUpstream, seconds(1));
+    if (queue(tier).size() >= m_options.queueBound)
+        return refusal(Reason::QueueFull, expectedWait(tier, queue(tier).totalCost()));
+    if (item.deadline <= now)
+        return refusal(Reason::DeadlineExceeded, Duration(0));
+    if (tier == kOrderTier || ask.tokensDone > 0 || !m_options.earlyRefusal || starves(tier, now))
+        return std::nullopt;
+    const auto wait = expectedWait(
+            tier, queue(tier).workAhead(ask.workspace, ask.workspaceWeight, item.startBy));
+    if (now + wait > item.startBy)
+        return refusal(Reason::DeadlineUnreachable, wait);
+    return std::nullopt;
+}
+
+SchedulerActions TieredScheduler::onAsk(const AskEvent &event, TimePoint now)
+{
+    SchedulerActions actions;
+    if (const GrantRecord *held = m_grants.findAttempt(event.key)) {
+        actions.emplace_back(GrantAction{event.key, event.node, held->id, held->upstreamId});
+        return actions;
+    }
+    const int tier = event.profile->tier;
+    if (queue(tier).contains(event.key))
+        return actions;
+    QueuedAsk item = makeItem(event, now);
+    auto &unserved = m_unservedSince[static_cast<std::size_t>(tier)];
+    if (!unserved)
+        unserved = now;
+    if (auto refusal = refusalOnArrival(item, now)) {
+        ++m_stats.refusals;
+        actions.emplace_back(std::move(*refusal));
+        return actions;
+    }
+    queue(tier).push(std::move(item));
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions TieredScheduler::onCancel(const AttemptKey &key, TimePoint now)
+{
+    SchedulerActions actions;
+    for (auto &it : m_queues)
+        it.remove(key);
+    dispatch(now, actions);
+    return actions;
+}
+
+bool TieredScheduler::starves(int tier, TimePoint now) const
+{
+    const auto &since = m_unservedSince[static_cast<std::size_t>(tier)];
+    return since && now - *since > kStarvation;
+}
+
+std::size_t TieredScheduler::guaranteedSlots(int tier) const
+{
+    if (tier != kTierCount - 1)
+        return 0;
+    return static_cast<std::size_t>(m_options.lowestTierShare * m_upstreams.totalSlots());
+}
+
+bool TieredScheduler::orderTierCanWait(TimePoint now) const
+{
+    const QueuedAsk *first = queue(kOrderTier).head();
+    if (first == nullptr)
+        return true;
+    const double releases =
+            m_slotSeconds > 0 ? static_cast<double>(m_grants.size()) / m_slotSeconds : 0;
+    const double slack = toSeconds(first->startBy - now);
+    return releases * slack > static_cast<double>(queue(kOrderTier).size() + 1);
+}
+
+std::optional<int> TieredScheduler::nextTier(const std::array<bool, kTierCount> &blocked,
+                                             TimePoint now) const
+{
+    const auto waits = [&](int tier) {
+        return !queue(tier).empty() && !blocked[static_cast<std::size_t>(tier)];
+    };
+    for (int tier = kTierCount - 1; tier > kOrderTier; --tier) {
+        if (waits(tier) && starves(tier, now))
+            return tier;
+    }
+    constexpr int kMiddle = 1;
+    constexpr int kLowest = kTierCount - 1;
+    const bool lowestOwed = waits(kLowest) && m_grants.inFlight(kLowest) < guaranteedSlots(kLowest);
+    // The guaranteed share comes from tier 1 first: while tier 1 holds slots, tier 0 goes ahead.
+    if (lowestOwed &&
+        (!waits(kOrderTier) || (m_grants.inFlight(kMiddle) == 0 && orderTierCanWait(now))))
+        return kLowest;
+    if (waits(kOrderTier))
+        return kOrderTier;
+    if (!waits(kMiddle) || !waits(kLowest)) {
+        if (waits(kMiddle))
+            return kMiddle;
+        return waits(kLowest) ? std::optional(kLowest) : std::nullopt;
+    }
+    const auto middle = static_cast<double>(m_grants.inFlight(kMiddle));
+    const auto lowest = static_cast<double>(m_grants.inFlight(kLowest));
+    return middle <= lowest * m_options.middleTierWeight ? kMiddle : kLowest;
+}
+
+void TieredScheduler::dispatch(TimePoint now, SchedulerActions &actions)
+{
+    std::array<bool, kTierCount> blocked{};
+    while (m_upstreams.freeSlots() > 0) {
+        const auto tier = nextTier(blocked, now);
+        if (!tier)
+            break;
+        if (!grantFrom(*tier, now, actions))
+            blocked[static_cast<std::size_t>(*tier)] = true;
+    }
+    if (m_options.preemption && !queue(kOrderTier).empty() && m_upstreams.freeSlots() == 0)
+        preempt(now, actions);
+}
+
+bool TieredScheduler::grantFrom(int tier, TimePoint now, SchedulerActions &actions)
+{
+    std::vector<std::size_t> excluded;
+    for (std::size_t n = 0; n < kHeadsTried; ++n) {
+        const QueuedAsk *item = queue(tier).head(n);
+        if (item == nullptr)
+            return false;
+        const bool tooLate = tier != kOrderTier && m_options.earlyRefusal &&
+                             item->ask.tokensDone == 0 && item->startBy < now;
+        if (tooLate || item->deadline <= now) {
+            const auto taken = queue(tier).remove(item->ask.key);
+            refuse(*taken,
+                   taken->deadline <= now ? Reason::DeadlineExceeded : Reason::DeadlineUnreachable,
+                   now, actions);
+            return true;
+        }
+        excluded.clear();
+        for (const auto &it : item->ask.excluded) {
+            if (const auto i = m_upstreams.find(it))
+                excluded.push_back(*i);
+        }
+        if (const auto upstream = m_upstreams.pick(item->affinity, excluded)) {
+            grant(tier, item->ask.key, *upstream, now, actions);
+            return true;
+        }
+    }
+    return false;
+}
+
+void TieredScheduler::grant(int tier, AttemptKey key, std::size_t upstream, TimePoint now,
+                            SchedulerActions &actions)
+{
+    const bool starved = starves(tier, now);
+    // A free slot that goes to a lower tier while tier 0 runs late breaks invariant I1; only a
+    // starving tier may take one.
+    if (tier != kOrderTier && !starved && !queue(kOrderTier).empty() && !orderTierCanWait(now) &&
+        queue(kOrderTier).head()->ask.excluded.empty())
+        ++m_stats.orderTierViolations;
+    QueuedAsk item = queue(tier).take(key);
+    m_unservedSince[static_cast<std::size_t>(tier)] =
+            queue(tier).empty() ? std::nullopt : std::optional(now);
+    GrantRecord record;
+    record.key = std::move(key);
+    record.node = item.ask.node;
+    record.upstream = upstream;
+    record.upstreamId = m_upstreams.idOf(upstream);
+    record.workspace = item.ask.workspace;
+    record.weight = item.ask.workspaceWeight;
+    record.profile = item.ask.profile;
+    record.tier = tier;
+    record.since = now;
+    record.promptTokens = item.ask.promptTokens;
+    record.tokensDone = item.ask.tokensDone;
+    record.cost = item.cost;
+    record.progressAt = now;
+    record.keepRunning = starved;
+    const GrantRecord &stored = m_grants.add(std::move(record));
+    m_upstreams.start(upstream, now);
+    ++m_stats.grants;
+    actions.emplace_back(GrantAction{stored.key, stored.node, stored.id, stored.upstreamId});
+}
+
+void TieredScheduler::refuse(const QueuedAsk &item, Reason reason, TimePoint now,
+                             SchedulerActions &actions)
+{
+    const int tier = item.ask.profile->tier;
+    // Tier 0 leaves its queue without a grant only when its own deadline has passed.
+    if (tier == kOrderTier && (reason != Reason::DeadlineExceeded || item.deadline > now))
+        ++m_stats.orderTierViolations;
+    ++m_stats.refusals;
+    const auto wait = expectedWait(tier, queue(tier).totalCost());
+    actions.emplace_back(RefuseAction{item.ask.key, item.ask.node, reason, wait});
+}
+
+SchedulerActions TieredScheduler::onUpstreams(const std::vector<UpstreamInfo> &upstreams,
+                                              TimePoint now)
+{
+    SchedulerActions actions;
+    m_upstreams.setUpstreams(upstreams, now);
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions TieredScheduler::onLoadReport(const LoadReportEvent &event, TimePoint now)
+{
+    SchedulerActions actions;
+    m_upstreams.observeReport(event, now);
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions TieredScheduler::onCapacityShare(double share, TimePoint now)
+{
+    SchedulerActions actions;
+    m_upstreams.setShare(share, now);
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions TieredScheduler::onTick(TimePoint now)
+{
+    SchedulerActions actions;
+    m_stats.ejections += m_upstreams.tick(now);
+    for (int tier = 0; tier < kTierCount; ++tier) {
+        const bool deadlineOnly = tier == kOrderTier || !m_options.earlyRefusal;
+        for (const auto &it : queue(tier).takeExpired(now, deadlineOnly)) {
+            const bool over = it.deadline <= now;
+            refuse(it, over ? Reason::DeadlineExceeded : Reason::DeadlineUnreachable, now, actions);
+        }
+    }
+    dispatch(now, actions);
+    if (now - m_expired > kExpireInterval) {
+        m_expired = now;
+        m_grants.expire(now);
+        for (auto &it : m_queues)
+            it.expireIdle();
+    }
+    return actions;
+}
+
+GroupLoadInfo TieredScheduler::load(TimePoint /*now*/) const
+{
+    GroupLoadInfo info;
+    info.inFlight = static_cast<std::uint32_t>(m_grants.size());
+    info.limit = m_upstreams.totalSlots();
+    for (int tier = 0; tier < kTierCount; ++tier) {
+        double ahead = 0;
+        for (int other = 0; other <= tier; ++other)
+            ahead += queue(other).totalCost();
+        info.queued += static_cast<std::uint32_t>(queue(tier).size());
+        info.waits[static_cast<std::size_t>(tier)] = expectedWait(tier, ahead);
+    }
+    return info;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/tiered_scheduler.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "modules/admission/fair_queue.h"
+#include "modules/admission/grant_table.h"
+#include "modules/admission/group_scheduler.h"
+#include "modules/admission/scheduler_options.h"
+#include "modules/admission/upstream_table.h"
+#include "modules/estimation/service_estimator.h"
+
+#include <array>
+#include <optional>
+#include <unordered_map>
+
+namespace hawthornslip {
+
+/**
+ * The scheduler of hawthornslip: tier 0 first, tiers 1 and 2 by weight with a guaranteed minimum
+ * for the lowest, fair between workspaces, with early refusal and preemption.
+ */
+class TieredScheduler : public GroupScheduler
+{
+public:
+    explicit TieredScheduler(const SchedulerOptions &options);
+
+    SchedulerActions onAsk(const AskEvent &event, TimePoint now) override;
+    SchedulerActions onCancel(const AttemptKey &key, TimePoint now) override;
+    SchedulerActions onRelease(const ReleaseEvent &event, TimePoint now) override;
+    SchedulerActions onProgress(const ProgressEvent &event, TimePoint now) override;
+    SchedulerActions onGrantReport(const GrantReportEvent &event, TimePoint now) override;
+    SchedulerActions onUpstreams(const std::vector<UpstreamInfo> &upstreams,
+                                 TimePoint now) override;
+    SchedulerActions onLoadReport(const LoadReportEvent &event, TimePoint now) override;
+    SchedulerActions onNodeLost(const NodeId &node, TimePoint now) override;
+    SchedulerActions onCapacityShare(double share, TimePoint now) override;
+    SchedulerActions onTick(TimePoint now) override;
+    GroupLoadInfo load(TimePoint now) const override;
+    const SchedulerStats &stats() const override { return m_stats; }
+
+    /** @return what is known of the upstreams. */
+    const UpstreamTable &upstreams() const { return m_upstreams; }
+
+private:
+    FairQueue &queue(int tier) { return m_queues[static_cast<std::size_t>(tier)]; }
+    const FairQueue &queue(int tier) const { return m_queues[static_cast<std::size_t>(tier)]; }
+    ServiceEstimator &estimator(const Profile &profile);
+
+    QueuedAsk makeItem(const AskEvent &event, TimePoint now);
+    std::optional<RefuseAction> refusalOnArrival(const QueuedAsk &item, TimePoint now);
+    Duration expectedWait(int tier, double workAhead) const;
+    double slotsFor(int tier) const;
+
+    std::optional<int> nextTier(const std::array<bool, kTierCount> &blocked, TimePoint now) const;
+    bool starves(int tier, TimePoint now) const;
+    bool orderTierCanWait(TimePoint now) const;
+    std::size_t guaranteedSlots(int tier) const;
+    void dispatch(TimePoint now, SchedulerActions &actions);
+    bool grantFrom(int tier, TimePoint now, SchedulerActions &actions);
+    void grant(int tier, AttemptKey key, std::size_t upstream, TimePoint now,
+               SchedulerActions &actions);
+    void refuse(const QueuedAsk &item, Reason reason, TimePoint now, SchedulerActions &actions);
+    void preempt(TimePoint now, SchedulerActions &actions);
+    GrantRecord *chooseVictim();
+    void learn(const GrantRecord &record, const ReleaseEvent &event);
+    void learnTokenTime(GrantRecord &record, std::uint32_t tokens, TimePoint now);
+    void restoreGrant(const NodeId &node, const HeldGrantInfo &held, TimePoint now);
+    void dropGrant(const GrantId &id, TimePoint now);
+
+    SchedulerOptions m_options;
+    UpstreamTable m_upstreams;
+    GrantTable m_grants;
+    std::array<FairQueue, kTierCount> m_queues;
+    std::unordered_map<ProfileName, ServiceEstimator> m_estimators;
+    /** Since when a tier has demand and got no slot. */
+    std::array<std::optional<TimePoint>, kTierCount> m_unservedSince;
+    /** Work in tokens that one slot does in a second, and the mean time that a slot is used. */
+    double m_slotRate = 0;
+    double m_slotSeconds = 0;
+    double m_slotWork = 0;
+    TimePoint m_expired{};
+    SchedulerStats m_stats;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/tiered_scheduler_grants.cpp
@@ -0,0 +1,228 @@
+// The part of TieredScheduler that follows granted attempts: progress, release, report, preemption.
+#include "modules/admission/tiered_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_set>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr double kPromptCost = 0.05;
+constexpr double kSlotGain = 0.02;
+// Fewer tokens say little about the time between tokens.
+constexpr std::uint32_t kMinTokens = 4;
+// A lost Preempt message is repeated after this time.
+constexpr Duration kPreemptRepeat = milliseconds(300);
+// A grant that its node does not report may have been granted after the report was made.
+constexpr Duration kReportGrace = seconds(5);
+// Of the slots expected to be freed in time, this part is counted on before streams are preempted.
+constexpr double kNaturalReleases = 0.5;
+
+double ratioOf(Duration time, Duration target)
+{
+    return target.count() > 0
+                   ? static_cast<double>(time.count()) / static_cast<double>(target.count())
+                   : 0;
+}
+
+} // namespace
+
+void TieredScheduler::learnTokenTime(GrantRecord &record, std::uint32_t tokens, TimePoint now)
+{
+    const std::uint32_t more = tokens - record.tokens;
+    const auto passed = now - record.progressAt;
+    if (more >= kMinTokens && record.sawFirstToken) {
+        const Duration tokenTime = passed / more;
+        m_upstreams.observeTime(record.upstream, ratioOf(tokenTime, record.profile->tokenTarget));
+        record.sawTokenTime = true;
+    }
+    if (more >= kMinTokens || !record.sawFirstToken) {
+        record.tokens = tokens;
+        record.progressAt = now;
+    }
+}
+
+SchedulerActions TieredScheduler::onProgress(const ProgressEvent &event, TimePoint now)
+{
+    GrantRecord *record = m_grants.find(event.grant);
+    if (record == nullptr || record->profile == nullptr || event.tokens <= record->tokens)
+        return {};
+    learnTokenTime(*record, event.tokens, now);
+    if (!record->sawFirstToken && event.firstToken > Duration(0)) {
+        record->sawFirstToken = true;
+        estimator(*record->profile).observeFirstToken(event.firstToken);
+        m_upstreams.observeTime(record->upstream,
+                                ratioOf(event.firstToken, record->profile->firstTokenTarget));
+    }
+    return {};
+}
+
+void TieredScheduler::learn(const GrantRecord &record, const ReleaseEvent &event)
+{
+    const auto i = record.upstream;
+    switch (event.result) {
+    case ReleaseResult::Unused:
+        return;
+    case ReleaseResult::ConnectFailed:
+        m_upstreams.observeFailure(i, false);
+        return;
+    case ReleaseResult::Failed:
+        // An upstream that refuses before its first token usually has too much to do.
+        m_upstreams.observeFailure(i, event.tokens == 0);
+        break;
+    case ReleaseResult::TimedOut:
+        m_upstreams.observeFailure(i, true);
+        break;
+    case ReleaseResult::Complete:
+        m_upstreams.observeSuccess(i);
+        break;
+    case ReleaseResult::Cancelled:
+    case ReleaseResult::Preempted:
+        break;
+    }
+    if (record.profile == nullptr)
+        return;
+    ServiceEstimator &service = estimator(*record.profile);
+    const std::uint32_t length = record.tokensDone + event.tokens;
+    if (event.result == ReleaseResult::Complete)
+        service.lengths().observe(length);
+    else if (event.result == ReleaseResult::Cancelled && event.tokens > 0)
+        service.lengths().observeCutOff(length);
+    if (event.firstToken > Duration(0) && !record.sawFirstToken) {
+        service.observeFirstToken(event.firstToken);
+        m_upstreams.observeTime(i, ratioOf(event.firstToken, record.profile->firstTokenTarget));
+    }
+    if (event.tokens >= kMinTokens && event.duration > event.firstToken) {
+        const Duration tokenTime = (event.duration - event.firstToken) / (event.tokens - 1);
+        service.observeTokenTime(tokenTime);
+        if (!record.sawTokenTime)
+            m_upstreams.observeTime(i, ratioOf(tokenTime, record.profile->tokenTarget));
+    }
+}
+
+SchedulerActions TieredScheduler::onRelease(const ReleaseEvent &event, TimePoint now)
+{
+    m_grants.markReleased(event.grant, now);
+    if (m_grants.find(event.grant) == nullptr)
+        return {};
+    const GrantRecord record = m_grants.take(event.grant);
+    m_upstreams.end(record.upstream, now);
+    learn(record, event);
+    const double read = kPromptCost * (record.promptTokens + record.tokensDone);
+    const double actual = event.result == ReleaseResult::Unused ? 0 : event.tokens + read;
+    queue(record.tier).correct(record.workspace, record.weight, actual - record.cost);
+    if (event.tokens > 0) {
+        const double used = std::max(toSeconds(now - record.since), 1e-3);
+        const double gain = m_slotRate > 0 ? kSlotGain : 1;
+        // Work and time are averaged apart, as long answers hold their slots longer.
+        m_slotSeconds += gain * (used - m_slotSeconds);
+        m_slotWork += gain * (actual - m_slotWork);
+        m_slotRate = m_slotWork / m_slotSeconds;
+    }
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+void TieredScheduler::dropGrant(const GrantId &id, TimePoint now)
+{
+    const GrantRecord record = m_grants.take(id);
+    m_upstreams.end(record.upstream, now);
+}
+
+void TieredScheduler::restoreGrant(const NodeId &node, const HeldGrantInfo &held, TimePoint now)
+{
+    GrantRecord record;
+    record.id = held.grant;
+    record.key.request = held.request.empty() ? RequestId(held.grant.value) : held.request;
+    record.node = node;
+    record.upstream = m_upstreams.findOrAdd(held.upstream, now);
+    record.upstreamId = held.upstream;
+    record.workspace = held.workspace;
+    record.profile = held.profile;
+    // A stream of an unknown profile may be of tier 0.
+    record.tier = held.profile ? held.profile->tier : kOrderTier;
+    record.since = now - held.age;
+    record.tokens = held.tokens;
+    record.progressAt = now;
+    record.sawFirstToken = held.tokens > 0;
+    m_grants.restore(std::move(record));
+    m_upstreams.start(m_upstreams.findOrAdd(held.upstream, now), now);
+}
+
+SchedulerActions TieredScheduler::onGrantReport(const GrantReportEvent &event, TimePoint now)
+{
+    std::unordered_set<GrantId> listed;
+    for (const auto &it : event.grants) {
+        listed.insert(it.grant);
+        if (GrantRecord *known = m_grants.find(it.grant)) {
+            if (known->profile != nullptr && it.tokens > known->tokens)
+                learnTokenTime(*known, it.tokens, now);
+        } else if (!m_grants.wasReleased(it.grant)) {
+            restoreGrant(event.node, it, now);
+        }
+    }
+    for (const auto &it : m_grants.heldBy(event.node)) {
+        if (listed.count(it) == 0 && now - m_grants.find(it)->since > kReportGrace)
+            dropGrant(it, now);
+    }
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+SchedulerActions TieredScheduler::onNodeLost(const NodeId &node, TimePoint now)
+{
+    for (const auto &it : m_grants.heldBy(node))
+        dropGrant(it, now);
+    for (auto &it : m_queues)
+        it.removeNode(node);
+    SchedulerActions actions;
+    dispatch(now, actions);
+    return actions;
+}
+
+GrantRecord *TieredScheduler::chooseVictim()
+{
+    for (int tier = kTierCount - 1; tier > kOrderTier; --tier) {
+        const std::size_t running = m_grants.inFlight(tier) - m_grants.stopping(tier);
+        if (running <= guaranteedSlots(tier))
+            continue;
+        if (GrantRecord *victim = m_grants.cheapestVictim(tier))
+            return victim;
+    }
+    return nullptr;
+}
+
+void TieredScheduler::preempt(TimePoint now, SchedulerActions &actions)
+{
+    for (const auto &it : m_grants.preempting()) {
+        GrantRecord &record = *m_grants.find(it);
+        if (now - record.preemptSent < kPreemptRepeat)
+            continue;
+        record.preemptSent = now;
+        actions.emplace_back(PreemptAction{record.id, record.node, record.profile->name});
+    }
+    const double slack = std::max(0.0, toSeconds(queue(kOrderTier).head()->startBy - now));
+    const double freed = m_slotSeconds > 0 ? static_cast<double>(m_grants.size()) * slack /
+                                                     m_slotSeconds * kNaturalReleases
+                                           : 0;
+    const double coming = static_cast<double>(m_grants.preempting().size()) + std::floor(freed);
+    auto missing = static_cast<double>(queue(kOrderTier).size()) - coming;
+    for (; missing >= 1; missing -= 1) {
+        GrantRecord *victim = chooseVictim();
+        if (victim == nullptr)
+            return;
+        if (victim->tier == kOrderTier) {
+            ++m_stats.orderTierViolations;
+            return;
+        }
+        m_grants.startPreempting(*victim, now);
+        ++m_stats.preemptions;
+        actions.emplace_back(PreemptAction{victim->id, victim->node, victim->profile->name});
+    }
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/upstream_table.cpp
@@ -0,0 +1,203 @@
+#include "modules/admission/upstream_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornslip {
+
+namespace {
+
+// A report older than this says nothing about the present load of others.
+constexpr Duration kReportUse = seconds(5);
+// The own count at the time of a report is known to within the requests then on their way.
+constexpr std::uint32_t kReportNoise = 2;
+constexpr double kReportNoiseShare = 0.1;
+
+} // namespace
+
+UpstreamTable::UpstreamTable(const SchedulerOptions &options)
+    : m_adaptive(options.adaptiveConcurrency)
+    , m_ejection(options.ejection)
+    , m_selector(options.prefixAffinity)
+{}
+
+std::optional<std::size_t> UpstreamTable::find(const UpstreamId &id) const
+{
+    const auto it = m_indices.find(id);
+    return it == m_indices.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::size_t UpstreamTable::place(const UpstreamId &id)
+{
+    if (const auto known = find(id))
+        return *known;
+    std::size_t i = 0;
+    while (i < m_entries.size() && (m_entries[i].accepts || m_entries[i].inFlight > 0))
+        ++i;
+    if (i == m_entries.size()) {
+        m_entries.emplace_back();
+        m_health.resize(m_entries.size());
+    } else {
+        m_indices.erase(m_entries[i].id);
+    }
+    m_entries[i] = Entry{};
+    m_entries[i].id = id;
+    m_health.reset(i);
+    m_indices[id] = i;
+    return i;
+}
+
+void UpstreamTable::setUpstreams(const std::vector<UpstreamInfo> &upstreams, TimePoint now)
+{
+    for (auto &it : m_entries)
+        it.accepts = false;
+    // Known ones first, so that none of their places is given to a new one.
+    for (const bool known : {true, false}) {
+        for (const auto &it : upstreams) {
+            if (find(it.id).has_value() != known)
+                continue;
+            Entry &entry = m_entries[place(it.id)];
+            if (!known || entry.maximum != it.maxConcurrency) {
+                entry.maximum = std::max(it.maxConcurrency, 1U);
+                if (known)
+                    entry.limiter.setMaximum(entry.maximum);
+                else
+                    entry.limiter = ConcurrencyLimiter(entry.maximum);
+            }
+            entry.accepts = it.acceptsWork;
+        }
+    }
+    rebuild(now);
+}
+
+std::size_t UpstreamTable::findOrAdd(const UpstreamId &id, TimePoint now)
+{
+    if (const auto known = find(id))
+        return *known;
+    const std::size_t i = place(id);
+    rebuild(now);
+    return i;
+}
+
+void UpstreamTable::rebuild(TimePoint now)
+{
+    std::vector<UpstreamId> ids;
+    ids.reserve(m_entries.size());
+    for (const auto &it : m_entries)
+        ids.push_back(it.id);
+    m_selector.setUpstreams(ids);
+    m_accepting = 0;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        m_accepting += m_entries[i].accepts ? 1 : 0;
+        refresh(i, now);
+    }
+}
+
+std::uint32_t UpstreamTable::foreignNow(const Entry &entry, TimePoint now) const
+{
+    return now - entry.reported < kReportUse ? entry.foreign : 0;
+}
+
+void UpstreamTable::refresh(std::size_t i, TimePoint now)
+{
+    const Entry &entry = m_entries[i];
+    const double share = m_ejection ? m_health.share(i, now) : 1;
+    if (!entry.accepts || share <= 0) {
+        m_selector.set(i, 0, entry.inFlight);
+        return;
+    }
+    const double limit = m_adaptive ? entry.limiter.limit() : entry.maximum;
+    const double slots = std::max(1.0, std::floor(limit * share * m_share));
+    const auto capacity = static_cast<std::uint32_t>(slots);
+    const std::uint32_t foreign = foreignNow(entry, now);
+    m_selector.set(i, capacity > foreign ? capacity - foreign : 0, entry.inFlight);
+}
+
+std::optional<std::size_t> UpstreamTable::pick(std::uint64_t key,
+                                               const std::vector<std::size_t> &excluded)
+{
+    return m_selector.pick(key, excluded);
+}
+
+void UpstreamTable::start(std::size_t i, TimePoint now)
+{
+    ++m_entries[i].inFlight;
+    refresh(i, now);
+}
+
+void UpstreamTable::end(std::size_t i, TimePoint now)
+{
+    --m_entries[i].inFlight;
+    refresh(i, now);
+}
+
+void UpstreamTable::observeTime(std::size_t i, double ratioToTarget)
+{
+    m_entries[i].limiter.observe(ratioToTarget);
+    m_health.observeTime(i, ratioToTarget);
+}
+
+void UpstreamTable::observeSuccess(std::size_t i)
+{
+    m_health.observeSuccess(i);
+}
+
+void UpstreamTable::observeFailure(std::size_t i, bool overload)
+{
+    m_health.observeFailure(i);
+    if (overload)
+        m_entries[i].limiter.observeOverload();
+}
+
+std::uint32_t UpstreamTable::inFlightAt(const Entry &entry, TimePoint then) const
+{
+    std::uint32_t found = entry.inFlight;
+    TimePoint best = TimePoint::max();
+    for (std::size_t k = 0; k < kHistory; ++k) {
+        if (m_historyTimes[k] >= then && m_historyTimes[k] < best) {
+            best = m_historyTimes[k];
+            found = entry.history[k];
+        }
+    }
+    return found;
+}
+
+void UpstreamTable::observeReport(const LoadReportEvent &event, TimePoint now)
+{
+    const auto i = find(event.upstream);
+    if (!i)
+        return;
+    Entry &entry = m_entries[*i];
+    const TimePoint then = now - event.age;
+    if (then < entry.reported)
+        return;
+    const std::uint32_t own = inFlightAt(entry, then);
+    const auto noise = kReportNoise + static_cast<std::uint32_t>(kReportNoiseShare * own);
+    const std::uint32_t reported = event.running + event.queued;
+    entry.foreign = reported > own + noise ? reported - own : 0;
+    entry.reported = then;
+    refresh(*i, now);
+}
+
+void UpstreamTable::setShare(double share, TimePoint now)
+{
+    m_share = share;
+    for (std::size_t i = 0; i < m_entries.size(); ++i)
+        refresh(i, now);
+}
+
+std::size_t UpstreamTable::tick(TimePoint now)
+{
+    m_historyTimes[m_historyNext] = now;
+    for (auto &it : m_entries) {
+        it.history[m_historyNext] = it.inFlight;
+        it.limiter.update(it.inFlight + foreignNow(it, now), now);
+    }
+    m_historyNext = (m_historyNext + 1) % kHistory;
+    const std::size_t ejected = m_ejection ? m_health.update(m_accepting, now).size() : 0;
+    for (std::size_t i = 0; i < m_entries.size(); ++i)
+        refresh(i, now);
+    return ejected;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/admission/upstream_table.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "modules/admission/scheduler_events.h"
+#include "modules/admission/scheduler_options.h"
+#include "modules/limits/concurrency_limiter.h"
+#include "modules/selection/outlier_detector.h"
+#include "modules/selection/upstream_selector.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * What is known of each upstream of a group: its limit, its health and its load. The own count of
+ * requests in flight is exact; a lagging report only tells how much others add to it.
+ */
+class UpstreamTable
+{
+public:
+    explicit UpstreamTable(const SchedulerOptions &options);
+
+    /** Sets the upstreams; those that left keep their place until their last request ended. */
+    void setUpstreams(const std::vector<UpstreamInfo> &upstreams, TimePoint now);
+
+    /** @return the index of @p id, or nothing. */
+    std::optional<std::size_t> find(const UpstreamId &id) const;
+
+    /** @return the index of @p id, adding it without capacity when it is not known. */
+    std::size_t findOrAdd(const UpstreamId &id, TimePoint now);
+
+    /** @return the identifier of upstream @p i. */
+    const UpstreamId &idOf(std::size_t i) const { return m_entries[i].id; }
+
+    /** @return the upstream for a request with affinity @p key, see UpstreamSelector::pick(). */
+    std::optional<std::size_t> pick(std::uint64_t key, const std::vector<std::size_t> &excluded);
+
+    /** Counts one more request at upstream @p i. */
+    void start(std::size_t i, TimePoint now);
+    /** Counts one request less at upstream @p i. */
+    void end(std::size_t i, TimePoint now);
+
+    /** Takes a time as a multiple of its target, of a running or ended answer. */
+    void observeTime(std::size_t i, double ratioToTarget);
+    /** Takes an attempt that brought its whole answer. */
+    void observeSuccess(std::size_t i);
+    /** Takes an attempt that failed at the upstream; @p overload marks a sign of too much load. */
+    void observeFailure(std::size_t i, bool overload);
+
+    /** Takes an upstream's own report of its load. */
+    void observeReport(const LoadReportEvent &event, TimePoint now);
+
+    /** Uses only @p share of each limit. */
+    void setShare(double share, TimePoint now);
+
+    /** Updates limits and health. @return the number of upstreams that were ejected now. */
+    std::size_t tick(TimePoint now);
+
+    /** @return true when some upstream accepts work, even if it has no free slot. */
+    bool anyAccepts() const { return m_accepting > 0; }
+    std::uint32_t freeSlots() const { return m_selector.freeSlots(); }
+    std::uint32_t totalSlots() const { return m_selector.totalSlots(); }
+    /** @return requests in flight at upstream @p i as counted here. */
+    std::uint32_t inFlight(std::size_t i) const { return m_entries[i].inFlight; }
+    /** @return the limit in use of upstream @p i. */
+    double limit(std::size_t i) const { return m_entries[i].limiter.limit(); }
+
+private:
+    static constexpr std::size_t kHistory = 64;
+
+    struct Entry
+    {
+        UpstreamId id;
+        bool accepts = false;
+        std::uint32_t maximum = 1;
+        std::uint32_t inFlight = 0;
+        ConcurrencyLimiter limiter{1};
+        /** Requests of others, from the last report. */
+        std::uint32_t foreign = 0;
+        TimePoint reported{};
+        std::array<std::uint32_t, kHistory> history{};
+    };
+
+    std::uint32_t foreignNow(const Entry &entry, TimePoint now) const;
+    std::uint32_t inFlightAt(const Entry &entry, TimePoint then) const;
+    void refresh(std::size_t i, TimePoint now);
+    void rebuild(TimePoint now);
+    std::size_t place(const UpstreamId &id);
+
+    bool m_adaptive;
+    bool m_ejection;
+    UpstreamSelector m_selector;
+    OutlierDetector m_health;
+    std::vector<Entry> m_entries;
+    std::unordered_map<UpstreamId, std::size_t> m_indices;
+    std::size_t m_accepting = 0;
+    double m_share = 1;
+    std::array<TimePoint, kHistory> m_historyTimes{};
+    std::size_t m_historyNext = 0;
+};
+
+} // namespace hawthornslip
