Add the decisions of claims

Cause: a keyed non-idempotent request may run at most once, whatever owners, messages, pauses and lost store answers do.

Change: ClaimShard batches claims, outcomes and lookups of one shard into conditional updates, and grants only a record that a confirmed version of the object shows; a lost answer is therefore settled by the read that follows it. Records seal into segments that hold exactly the open records of one version, so that two owners write the same contents under the same name.

--- /dev/null
+++ b/modules/claims/claim_index.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "modules/claims/claim_types.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * One version of a shard as it was read from or written to the store, with its segments, searchable
+ * by key. Segments are immutable, so those already read are kept over versions.
+ */
+class ClaimIndex
+{
+public:
+    /** Takes @p data as version @p version; segments that it no longer lists are dropped. */
+    void load(ClaimShardData data, std::uint64_t version);
+
+    /** Adds the records of the segment @p name. */
+    void addSegment(const std::string &name, const std::vector<ClaimRecord> &records);
+
+    /** @return the listed segments whose records are not yet known. */
+    std::vector<std::string> missingSegments() const;
+
+    /** @return the newest record of @p keyHash, or nullptr. */
+    const ClaimRecord *find(const std::string &keyHash) const;
+
+    /** @return the number of records with those in segments. */
+    std::size_t recordCount() const;
+
+    /** @return an upper estimate of the encoded size of the open records in bytes. */
+    std::size_t openBytes() const { return m_openBytes; }
+
+    const ClaimShardData &data() const { return m_data; }
+    std::uint64_t version() const { return m_version; }
+
+private:
+    using Records = std::unordered_map<std::string, ClaimRecord>;
+
+    ClaimShardData m_data;
+    std::uint64_t m_version = 0;
+    std::size_t m_openBytes = 0;
+    std::unordered_map<std::string, std::size_t> m_openByKey;
+    std::map<std::string, Records> m_segments;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/claims/claim_shard.cpp
@@ -0,0 +1,190 @@
+#include "modules/claims/claim_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+ClaimShard::ClaimShard(std::uint32_t shard, ClaimShardOptions options, std::uint64_t seed)
+    : m_shard(shard)
+    , m_options(options)
+    , m_random(seed)
+{}
+
+ClaimActions ClaimShard::claim(const ClaimCall &call, ClaimTime time)
+{
+    const auto repeated = std::any_of(m_claims.begin(), m_claims.end(), [&](const auto &it) {
+        return it.call.claimId == call.claimId;
+    });
+    if (repeated)
+        return advance(time);
+    if (m_storeDown && time.now < m_retryAt)
+        return {SendClaimReply{call.asker, call.claimId, ClaimVerdict::StoreUnavailable, {}}};
+    if (m_claims.size() >= m_options.maxPending)
+        return {SendClaimReply{call.asker, call.claimId, ClaimVerdict::Full, {}}};
+    m_claims.push_back({call, time.now, {}, false});
+    return advance(time);
+}
+
+ClaimActions ClaimShard::outcome(const ClaimOutcomeReport &report, ClaimTime time)
+{
+    const auto repeated = std::any_of(m_outcomes.begin(), m_outcomes.end(), [&](const auto &it) {
+        return it.report.claimId == report.claimId && it.report.state == report.state &&
+               it.report.reporter == report.reporter;
+    });
+    // A dropped report is repeated by its holder.
+    if (!repeated && m_outcomes.size() < m_options.maxPending)
+        m_outcomes.push_back({report, time.now});
+    return advance(time);
+}
+
+ClaimActions ClaimShard::lookUp(const ClaimLookup &lookup, ClaimTime time)
+{
+    if (m_lookups.size() >= m_options.maxPending || (m_storeDown && time.now < m_retryAt))
+        return {SendLookupReply{lookup.asker, lookup.queryId, {}, true}};
+    m_lookups.push_back({lookup, time.now, {}});
+    return advance(time);
+}
+
+ClaimActions ClaimShard::holderAnswered(std::uint64_t claimId, const HolderView &view,
+                                        ClaimTime time)
+{
+    const auto take = [&](HolderQuestion &question) {
+        if (question.claimId != claimId || question.view)
+            return;
+        question.view = view;
+        question.answeredAt = time.now;
+    };
+    std::string keyHash;
+    for (auto &it : m_claims) {
+        take(it.question);
+        if (it.question.claimId == claimId)
+            keyHash = it.call.keyHash;
+    }
+    for (auto &it : m_lookups) {
+        take(it.question);
+        if (it.question.claimId == claimId)
+            keyHash = it.lookup.keyHash;
+    }
+    // The holder knows the outcome but has not yet reported it here: store it, then decide.
+    if (!keyHash.empty() && view.known && view.state != ClaimState::Claimed)
+        return outcome({{}, claimId, keyHash, view.state, view.httpStatus}, time);
+    return advance(time);
+}
+
+ClaimActions ClaimShard::wake(ClaimTime time)
+{
+    return advance(time);
+}
+
+bool ClaimShard::idle() const
+{
+    return m_io == Io::Idle && m_claims.empty() && m_outcomes.empty() && m_lookups.empty();
+}
+
+ClaimActions ClaimShard::advance(ClaimTime time)
+{
+    ClaimActions actions;
+    // An operation whose answer never comes must not block the shard for ever.
+    if (m_io != Io::Idle && time.now >= m_operationStart + m_options.operationTimeout) {
+        if (m_io == Io::WritingShard)
+            writeLost();
+        m_io = Io::Idle;
+        storeFailed(StoreError::Unknown, time, actions);
+    }
+    giveUpOld(time, actions);
+    step(time, actions);
+    return actions;
+}
+
+void ClaimShard::step(ClaimTime time, ClaimActions &actions)
+{
+    if (idle())
+        return;
+    if (m_io != Io::Idle) {
+        wakeAt(m_operationStart + m_options.operationTimeout, actions);
+        return;
+    }
+    if (time.now < m_retryAt) {
+        wakeAt(m_retryAt, actions);
+        return;
+    }
+    if (!m_loaded) {
+        startRead(time, actions);
+        return;
+    }
+    if (!m_base.missingSegments().empty()) {
+        readMissingSegments(time, actions);
+        return;
+    }
+    m_refreshWanted = false;
+    settleOutcomes(time, actions);
+    settleClaims(time, actions);
+    settleLookups(time, actions);
+    if (m_refreshWanted) {
+        startRead(time, actions);
+        return;
+    }
+    TimePoint due = TimePoint::max();
+    const auto changes = collectChanges(time, due);
+    if (changes.empty())
+        return;
+    due = std::max(due, m_writeAt);
+    if (time.now < due)
+        wakeAt(due, actions);
+    else if (m_base.openBytes() > m_options.sealBytes && m_sealedVersion != m_base.version())
+        startSeal(time, actions);
+    else
+        startWrite(changes, time, actions);
+}
+
+void ClaimShard::wakeAt(TimePoint at, ClaimActions &actions)
+{
+    actions.emplace_back(WakeClaimShard{at});
+}
+
+void ClaimShard::giveUpOld(ClaimTime time, ClaimActions &actions)
+{
+    const auto tooOld = [&](const auto &it) {
+        return time.now >= it.arrivedAt + m_options.entryTimeout;
+    };
+    for (const auto &it : m_claims) {
+        if (tooOld(it))
+            actions.emplace_back(SendClaimReply{it.call.asker,
+                                                it.call.claimId,
+                                                ClaimVerdict::StoreUnavailable,
+                                                {},
+                                                0,
+                                                0,
+                                                true});
+    }
+    for (const auto &it : m_lookups) {
+        if (tooOld(it))
+            actions.emplace_back(SendLookupReply{it.lookup.asker, it.lookup.queryId, {}, true});
+    }
+    std::erase_if(m_claims, tooOld);
+    std::erase_if(m_lookups, tooOld);
+    std::erase_if(m_outcomes, tooOld);
+}
+
+void ClaimShard::refuseClaims(ClaimActions &actions)
+{
+    for (const auto &it : m_claims)
+        actions.emplace_back(SendClaimReply{it.call.asker,
+                                            it.call.claimId,
+                                            ClaimVerdict::StoreUnavailable,
+                                            {},
+                                            0,
+                                            0,
+                                            it.mayBeStored});
+    m_claims.clear();
+}
+
+void ClaimShard::failLookups(ClaimActions &actions)
+{
+    for (const auto &it : m_lookups)
+        actions.emplace_back(SendLookupReply{it.lookup.asker, it.lookup.queryId, {}, true});
+    m_lookups.clear();
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/claims/claim_shard_store.cpp
@@ -0,0 +1,251 @@
+#include "modules/claims/claim_shard.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace hawthornslip {
+
+ClaimActions ClaimShard::shardRead(std::uint64_t operation, StoreError error,
+                                   const std::optional<ClaimShardData> &data, std::uint64_t version,
+                                   ClaimTime time)
+{
+    if (m_io != Io::ReadingShard || !finish(operation))
+        return {};
+    ClaimActions actions;
+    if (error == StoreError::NotFound) {
+        m_base.load({}, 0);
+    } else if (error == StoreError::None && data) {
+        m_base.load(*data, version);
+    } else {
+        // An object that cannot be decoded may hold claims, so nothing is granted on it.
+        storeFailed(error == StoreError::RateLimited ? error : StoreError::Unavailable, time,
+                    actions);
+        step(time, actions);
+        return actions;
+    }
+    // The backoff stays until a write succeeds: reads may work while all writes fail.
+    m_loaded = true;
+    m_freshAt = m_operationStart;
+    m_storeDown = false;
+    step(time, actions);
+    return actions;
+}
+
+ClaimActions ClaimShard::segmentRead(std::uint64_t operation, const std::string &name,
+                                     StoreError error,
+                                     const std::optional<std::vector<ClaimRecord>> &records,
+                                     ClaimTime time)
+{
+    ClaimActions actions;
+    if (operation != m_operation || (m_io != Io::ReadingSegments && m_io != Io::CheckingSegment))
+        return actions;
+    const bool read = error == StoreError::None && records;
+    if (m_io == Io::CheckingSegment) {
+        m_io = Io::Idle;
+        segmentChecked(error, read && *records == m_base.data().open, time, actions);
+        step(time, actions);
+        return actions;
+    }
+    if (read) {
+        m_base.addSegment(name, *records);
+        if (--m_segmentsToRead > 0)
+            return actions;
+        m_io = Io::Idle;
+    } else {
+        // Records may be missing, so nothing is granted until the segment was read.
+        m_io = Io::Idle;
+        storeFailed(error == StoreError::RateLimited ? error : StoreError::Unavailable, time,
+                    actions);
+    }
+    step(time, actions);
+    return actions;
+}
+
+ClaimActions ClaimShard::shardWritten(std::uint64_t operation, StoreError error,
+                                      std::uint64_t version, ClaimTime time)
+{
+    if (m_io != Io::WritingShard || !finish(operation))
+        return {};
+    ClaimActions actions;
+    if (error == StoreError::None) {
+        if (m_sealed && m_sealedVersion == m_base.version())
+            m_base.addSegment(m_sealed->name, m_base.data().open);
+        m_base.load(std::move(m_writing), version);
+        m_freshAt = m_operationStart;
+        m_backoff = Duration(0);
+        m_storeDown = false;
+        for (auto &it : m_droppedSegments)
+            actions.emplace_back(ClearClaimSegment{std::move(it)});
+    } else if (error == StoreError::Conflict || error == StoreError::NotFound) {
+        m_loaded = false;
+    } else {
+        if (error == StoreError::Unknown)
+            writeLost();
+        storeFailed(error, time, actions);
+    }
+    m_droppedSegments.clear();
+    step(time, actions);
+    return actions;
+}
+
+ClaimActions ClaimShard::segmentWritten(std::uint64_t operation, StoreError error, ClaimTime time)
+{
+    if (m_io != Io::WritingSegment || !finish(operation))
+        return {};
+    ClaimActions actions;
+    if (error == StoreError::None) {
+        m_sealedVersion = m_base.version();
+    } else if (error == StoreError::Conflict || error == StoreError::Unknown) {
+        // The name holds the version, so another owner wrote the same records under it.
+        checkSegment(time, actions);
+        return actions;
+    } else {
+        m_sealed.reset();
+        storeFailed(error, time, actions);
+    }
+    step(time, actions);
+    return actions;
+}
+
+std::uint64_t ClaimShard::begin(Io io, ClaimTime time)
+{
+    m_io = io;
+    m_operationStart = time.now;
+    return ++m_operation;
+}
+
+bool ClaimShard::finish(std::uint64_t operation)
+{
+    if (operation != m_operation)
+        return false;
+    m_io = Io::Idle;
+    return true;
+}
+
+void ClaimShard::startRead(ClaimTime time, ClaimActions &actions)
+{
+    actions.emplace_back(ReadClaimShard{begin(Io::ReadingShard, time)});
+    wakeAt(m_operationStart + m_options.operationTimeout, actions);
+}
+
+void ClaimShard::readMissingSegments(ClaimTime time, ClaimActions &actions)
+{
+    const auto missing = m_base.missingSegments();
+    m_segmentsToRead = missing.size();
+    const auto operation = begin(Io::ReadingSegments, time);
+    for (const auto &it : missing)
+        actions.emplace_back(ReadClaimSegment{operation, it});
+    wakeAt(m_operationStart + m_options.operationTimeout, actions);
+}
+
+void ClaimShard::startWrite(const Changes &changes, ClaimTime time, ClaimActions &actions)
+{
+    ClaimShardData next = m_base.data();
+    addSealed(next, next.open);
+    std::unordered_map<std::string, std::size_t> places;
+    for (std::size_t i = 0; i < next.open.size(); ++i)
+        places[next.open[i].keyHash] = i;
+    for (const auto &[key, record] : changes) {
+        if (const auto it = places.find(key); it != places.end())
+            next.open[it->second] = record;
+        else
+            next.open.push_back(record);
+    }
+    dropExpired(next, time);
+    next.batchId = m_random();
+    m_claimsWriting.clear();
+    for (const auto &[key, record] : changes)
+        m_claimsWriting.push_back(record.claimId);
+    m_writing = next;
+    const auto operation = begin(Io::WritingShard, time);
+    actions.emplace_back(
+            WriteClaimShard{operation, m_base.version(), std::move(next), changes.size()});
+    wakeAt(m_operationStart + m_options.operationTimeout, actions);
+}
+
+void ClaimShard::startSeal(ClaimTime time, ClaimActions &actions)
+{
+    const auto &data = m_base.data();
+    ClaimSegmentRef ref;
+    ref.name = "claims/" + std::to_string(m_shard) + "/" + std::to_string(data.nextSegment) + "-" +
+               std::to_string(m_base.version());
+    ref.records = static_cast<std::uint32_t>(data.open.size());
+    for (const auto &it : data.open)
+        ref.newest = std::max(ref.newest, it.writtenAt);
+    m_sealed = ref;
+    m_sealedVersion = 0;
+    actions.emplace_back(WriteClaimSegment{begin(Io::WritingSegment, time), ref.name, data.open});
+    wakeAt(m_operationStart + m_options.operationTimeout, actions);
+}
+
+void ClaimShard::checkSegment(ClaimTime time, ClaimActions &actions)
+{
+    actions.emplace_back(ReadClaimSegment{begin(Io::CheckingSegment, time), m_sealed->name});
+    wakeAt(m_operationStart + m_options.operationTimeout, actions);
+}
+
+void ClaimShard::segmentChecked(StoreError error, bool same, ClaimTime time, ClaimActions &actions)
+{
+    if (error != StoreError::None && error != StoreError::NotFound) {
+        m_sealed.reset();
+        storeFailed(StoreError::Unavailable, time, actions);
+        return;
+    }
+    // Without a segment of the same contents this version is written unsealed; the next one seals
+    // under another name.
+    if (!same)
+        m_sealed.reset();
+    m_sealedVersion = m_base.version();
+}
+
+void ClaimShard::addSealed(ClaimShardData &next, std::vector<ClaimRecord> &open) const
+{
+    if (!m_sealed || m_sealedVersion != m_base.version())
+        return;
+    next.segments.push_back(*m_sealed);
+    ++next.nextSegment;
+    open.clear();
+}
+
+void ClaimShard::dropExpired(ClaimShardData &next, ClaimTime time)
+{
+    const auto oldest = time.wall - m_options.retentionMillis;
+    std::erase_if(next.open, [&](const auto &it) { return it.writtenAt < oldest; });
+    m_droppedSegments.clear();
+    for (const auto &it : next.segments) {
+        if (it.newest < oldest)
+            m_droppedSegments.push_back(it.name);
+    }
+    std::erase_if(next.segments, [&](const auto &it) { return it.newest < oldest; });
+}
+
+void ClaimShard::storeFailed(StoreError error, ClaimTime time, ClaimActions &actions)
+{
+    m_backoff = m_backoff == Duration(0) ? m_options.firstBackoff
+                                         : std::min(m_backoff * 2, m_options.longestBackoff);
+    m_retryAt = time.now + m_backoff;
+    if (error == StoreError::RateLimited)
+        return;
+    // After a lost answer the object is read back at once; only a failed read refuses the claims.
+    if (error == StoreError::Unknown) {
+        m_writeAt = m_retryAt;
+        m_retryAt = time.now;
+        return;
+    }
+    m_storeDown = true;
+    refuseClaims(actions);
+    failLookups(actions);
+}
+
+void ClaimShard::writeLost()
+{
+    m_loaded = false;
+    for (auto &it : m_claims) {
+        if (std::find(m_claimsWriting.begin(), m_claimsWriting.end(), it.call.claimId) !=
+            m_claimsWriting.end())
+            it.mayBeStored = true;
+    }
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/claims/tests/claim_shard_test.cpp
@@ -0,0 +1,504 @@
+#include "modules/claims/claim_shard.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+
+namespace hawthornslip {
+
+namespace {
+
+// Holds objects and segments and runs the store calls of shards, with faults on demand.
+class Bench
+{
+public:
+    explicit Bench(ClaimShardOptions shardOptions = {})
+        : options(shardOptions)
+    {
+        addOwner();
+    }
+
+    ClaimShard &addOwner()
+    {
+        owners.push_back(std::make_unique<ClaimShard>(7, options, owners.size() + 1));
+        return *owners.back();
+    }
+
+    // Runs the actions of owner n and all that follow; keeps replies.
+    void run(std::size_t n, ClaimActions actions)
+    {
+        for (auto &it : actions)
+            handle(n, it);
+    }
+
+    void wake(std::size_t n, Duration span)
+    {
+        time.now += span;
+        time.wall += toMillis(span);
+        run(n, owners[n]->wake(time));
+    }
+
+    void claim(std::size_t n, std::uint64_t id, const std::string &key = "k",
+               std::uint64_t body = 1)
+    {
+        run(n, owners[n]->claim({NodeId("n" + std::to_string(id)), id, key, body}, time));
+    }
+
+    void outcome(std::size_t n, std::uint64_t id, ClaimState state, const std::string &key = "k")
+    {
+        run(n, owners[n]->outcome({NodeId("n" + std::to_string(id)), id, key, state, 200}, time));
+    }
+
+    void lookUp(std::size_t n, const std::string &key = "k")
+    {
+        run(n, owners[n]->lookUp({NodeId("q"), 99, key}, time));
+    }
+
+    void answerHolder(std::size_t n, std::uint64_t id, const HolderView &view)
+    {
+        run(n, owners[n]->holderAnswered(id, view, time));
+    }
+
+    // The verdict of the last reply to claim id, or nothing.
+    std::optional<ClaimVerdict> verdict(std::uint64_t id) const
+    {
+        std::optional<ClaimVerdict> last;
+        for (const auto &it : replies) {
+            if (it.claimId == id)
+                last = it.verdict;
+        }
+        return last;
+    }
+
+    int granted() const
+    {
+        int n = 0;
+        for (const auto &it : replies)
+            n += it.verdict == ClaimVerdict::Granted ? 1 : 0;
+        return n;
+    }
+
+    ClaimShardOptions options;
+    std::vector<std::unique_ptr<ClaimShard>> owners;
+    ClaimTime time{TimePoint(seconds(1000)), 1'700'000'000'000};
+    ClaimShardData object;
+    std::uint64_t version = 0;
+    std::map<std::string, std::vector<ClaimRecord>> segments;
+    std::vector<SendClaimReply> replies;
+    std::vector<SendOutcomeAck> acks;
+    std::vector<SendLookupReply> lookups;
+    std::vector<AskClaimHolder> asked;
+    std::vector<ClaimViolation> violations;
+    std::vector<std::string> cleared;
+    int writes = 0;
+    int reads = 0;
+    // Faults of the next calls.
+    StoreError writeFault = StoreError::None;
+    bool loseAnswer = false;
+    StoreError readFault = StoreError::None;
+    // Holds back writes instead of running them.
+    bool hold = false;
+    std::vector<std::pair<std::size_t, WriteClaimShard>> held;
+
+    void commit(std::size_t n, const WriteClaimShard &write)
+    {
+        ++writes;
+        if (writeFault != StoreError::None) {
+            run(n, owners[n]->shardWritten(write.operation, writeFault, 0, time));
+            return;
+        }
+        if (write.expectedVersion != version) {
+            run(n, owners[n]->shardWritten(write.operation, StoreError::Conflict, 0, time));
+            return;
+        }
+        object = write.data;
+        ++version;
+        const auto error = loseAnswer ? StoreError::Unknown : StoreError::None;
+        loseAnswer = false;
+        run(n, owners[n]->shardWritten(write.operation, error, version, time));
+    }
+
+private:
+    void handle(std::size_t n, ClaimAction &action)
+    {
+        if (auto *read = std::get_if<ReadClaimShard>(&action)) {
+            ++reads;
+            const auto error = readFault != StoreError::None ? readFault
+                               : version == 0                ? StoreError::NotFound
+                                                             : StoreError::None;
+            run(n, owners[n]->shardRead(read->operation, error, object, version, time));
+        } else if (auto *write = std::get_if<WriteClaimShard>(&action)) {
+            if (hold)
+                held.emplace_back(n, *write);
+            else
+                commit(n, *write);
+        } else if (auto *seal = std::get_if<WriteClaimSegment>(&action)) {
+            const bool fresh = segments.emplace(seal->name, seal->records).second;
+            run(n, owners[n]->segmentWritten(
+                           seal->operation, fresh ? StoreError::None : StoreError::Conflict, time));
+        } else if (auto *part = std::get_if<ReadClaimSegment>(&action)) {
+            const auto it = segments.find(part->name);
+            const bool found = it != segments.end();
+            run(n, owners[n]->segmentRead(part->operation, part->name,
+                                          found ? StoreError::None : StoreError::NotFound,
+                                          found ? std::optional(it->second) : std::nullopt, time));
+        } else {
+            keep(action);
+        }
+    }
+
+    void keep(const ClaimAction &action)
+    {
+        if (const auto *reply = std::get_if<SendClaimReply>(&action))
+            replies.push_back(*reply);
+        else if (const auto *ack = std::get_if<SendOutcomeAck>(&action))
+            acks.push_back(*ack);
+        else if (const auto *found = std::get_if<SendLookupReply>(&action))
+            lookups.push_back(*found);
+        else if (const auto *ask = std::get_if<AskClaimHolder>(&action))
+            asked.push_back(*ask);
+        else if (const auto *violation = std::get_if<ClaimViolation>(&action))
+            violations.push_back(*violation);
+        else if (const auto *clear = std::get_if<ClearClaimSegment>(&action))
+            cleared.push_back(clear->name);
+    }
+};
+
+const auto kBatch = milliseconds(5);
+
+} // namespace
+
+class ClaimShardTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClaimShardTest);
+    CPPUNIT_TEST(batchSharesOneWrite);
+    CPPUNIT_TEST(nothingIsGrantedBeforeTheWrite);
+    CPPUNIT_TEST(lostAnswerIsReadBack);
+    CPPUNIT_TEST(writeStillOnItsWayIsNotGrantedTwice);
+    CPPUNIT_TEST(staleOwnerGrantsNothing);
+    CPPUNIT_TEST(outageRefusesAndRecovers);
+    CPPUNIT_TEST(undecodableObjectGrantsNothing);
+    CPPUNIT_TEST(repeatedKeyAsksTheHolder);
+    CPPUNIT_TEST(forgottenClaimIsReadAgain);
+    CPPUNIT_TEST(notRunFreesTheKey);
+    CPPUNIT_TEST(finalStatesStay);
+    CPPUNIT_TEST(reusedKeyIsRefused);
+    CPPUNIT_TEST(withdrawnClaimIsNotStoredLater);
+    CPPUNIT_TEST(outcomeIsAcknowledgedAfterItsWrite);
+    CPPUNIT_TEST(sealedRecordsStayKnown);
+    CPPUNIT_TEST(missingSegmentGrantsNothing);
+    CPPUNIT_TEST(expiredRecordsLeave);
+    CPPUNIT_TEST(fullShardRefuses);
+    CPPUNIT_TEST(lookupsAreFresh);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against one store write for each claim.
+    void batchSharesOneWrite()
+    {
+        Bench bench;
+        for (std::uint64_t id = 1; id <= 20; ++id)
+            bench.claim(0, id, "k" + std::to_string(id));
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT_EQUAL(1, bench.writes);
+        CPPUNIT_ASSERT_EQUAL(20, bench.granted());
+    }
+
+    // Guards against a request that is sent although its claim never reached the store.
+    void nothingIsGrantedBeforeTheWrite()
+    {
+        Bench bench;
+        bench.hold = true;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.held.size());
+        CPPUNIT_ASSERT(!bench.verdict(1));
+        bench.commit(0, bench.held[0].second);
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::Granted);
+    }
+
+    // Guards against a claim that is refused or written again although it is stored.
+    void lostAnswerIsReadBack()
+    {
+        Bench bench;
+        bench.loseAnswer = true;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::Granted);
+        CPPUNIT_ASSERT_EQUAL(1, bench.writes);
+    }
+
+    // Guards against a delayed write that lands after its owner took it for failed.
+    void writeStillOnItsWayIsNotGrantedTwice()
+    {
+        Bench bench;
+        bench.addOwner();
+        bench.hold = true;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        const auto late = bench.held[0].second;
+        bench.hold = false;
+        bench.claim(1, 2);
+        bench.wake(1, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::Granted);
+        bench.commit(0, late);
+        bench.answerHolder(0, 2, {true, ClaimState::Claimed, 0});
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::InProgress);
+        CPPUNIT_ASSERT_EQUAL(1, bench.granted());
+    }
+
+    // Guards against a paused owner that grants from its old copy of the object.
+    void staleOwnerGrantsNothing()
+    {
+        Bench bench;
+        bench.addOwner();
+        bench.claim(0, 1, "other");
+        bench.wake(0, kBatch);
+        bench.claim(1, 2);
+        bench.wake(1, kBatch);
+        bench.outcome(1, 2, ClaimState::Ran);
+        bench.wake(1, milliseconds(100));
+        bench.claim(0, 3);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(3) == ClaimVerdict::Ran);
+    }
+
+    // Guards against requests that hang or run while the store is out, and against a shard that
+    // stays refused afterwards.
+    void outageRefusesAndRecovers()
+    {
+        Bench bench;
+        bench.writeFault = StoreError::Unavailable;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::StoreUnavailable);
+        CPPUNIT_ASSERT(!bench.replies.back().mayBeStored);
+        bench.writeFault = StoreError::Unknown;
+        bench.readFault = StoreError::Unavailable;
+        bench.time.now += seconds(2);
+        bench.claim(0, 2);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::StoreUnavailable);
+        CPPUNIT_ASSERT(bench.replies.back().mayBeStored);
+        bench.writeFault = bench.readFault = StoreError::None;
+        bench.time.now += seconds(2);
+        bench.claim(0, 3);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(3) == ClaimVerdict::Granted);
+    }
+
+    // Guards against an object of another format that passes for an empty shard.
+    void undecodableObjectGrantsNothing()
+    {
+        ClaimShard shard(7, {}, 1);
+        ClaimTime time{TimePoint(seconds(1)), 1};
+        const auto actions = shard.claim({NodeId("n"), 1, "k", 1}, time);
+        const auto operation = std::get<ReadClaimShard>(actions.front()).operation;
+        const auto next = shard.shardRead(operation, StoreError::None, std::nullopt, 3, time);
+        const auto &reply = std::get<SendClaimReply>(next.front());
+        CPPUNIT_ASSERT(reply.verdict == ClaimVerdict::StoreUnavailable);
+    }
+
+    // Guards against an answer about a claim in progress that nobody checked.
+    void repeatedKeyAsksTheHolder()
+    {
+        Bench bench;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        bench.claim(0, 2);
+        CPPUNIT_ASSERT(bench.asked.back().holder == NodeId("n1"));
+        bench.answerHolder(0, 1, {true, ClaimState::Claimed, 0});
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::InProgress);
+        bench.claim(0, 3);
+        bench.wake(0, bench.options.holderWait);
+        CPPUNIT_ASSERT(bench.verdict(3) == ClaimVerdict::MayHaveRun);
+        bench.claim(0, 4);
+        bench.answerHolder(0, 1, {true, ClaimState::NotRun, 0});
+        bench.wake(0, milliseconds(100));
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(4) == ClaimVerdict::Granted);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, bench.replies.back().attempt);
+    }
+
+    // Guards against "may have run" for an outcome that another owner stored meanwhile.
+    void forgottenClaimIsReadAgain()
+    {
+        Bench bench;
+        bench.addOwner();
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        bench.claim(0, 2);
+        bench.outcome(1, 1, ClaimState::Ran);
+        bench.wake(1, milliseconds(100));
+        bench.answerHolder(0, 1, {});
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::Ran);
+    }
+
+    // Guards against a key that stays blocked after its request was not run.
+    void notRunFreesTheKey()
+    {
+        Bench bench;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        bench.outcome(0, 1, ClaimState::NotRun);
+        bench.wake(0, milliseconds(100));
+        bench.claim(0, 2);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::Granted);
+        // A late message of the first attempt must not free or take the key.
+        bench.outcome(0, 1, ClaimState::NotRun);
+        bench.claim(0, 1);
+        bench.wake(0, milliseconds(100));
+        bench.answerHolder(0, 2, {true, ClaimState::Claimed, 0});
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::InProgress);
+        CPPUNIT_ASSERT(bench.violations.empty());
+    }
+
+    // Guards against a late report that frees a key whose request was sent.
+    void finalStatesStay()
+    {
+        for (const auto state : {ClaimState::Ran, ClaimState::MayHaveRun}) {
+            Bench bench;
+            bench.claim(0, 1);
+            bench.wake(0, kBatch);
+            bench.outcome(0, 1, state);
+            bench.wake(0, milliseconds(100));
+            bench.outcome(0, 1, ClaimState::NotRun);
+            bench.wake(0, milliseconds(100));
+            CPPUNIT_ASSERT(bench.object.open.at(0).state == state);
+            bench.claim(0, 2);
+            bench.wake(0, kBatch);
+            CPPUNIT_ASSERT(bench.verdict(2) != ClaimVerdict::Granted);
+        }
+    }
+
+    // Guards against the answer to one request being given for another one.
+    void reusedKeyIsRefused()
+    {
+        Bench bench;
+        bench.claim(0, 1, "k", 1);
+        bench.wake(0, kBatch);
+        bench.claim(0, 2, "k", 2);
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::KeyReused);
+    }
+
+    // Guards against a claim that lands after its holder reported "not run" and blocks the key.
+    void withdrawnClaimIsNotStoredLater()
+    {
+        Bench bench;
+        bench.addOwner();
+        bench.hold = true;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        const auto late = bench.held[0].second;
+        bench.hold = false;
+        bench.outcome(1, 1, ClaimState::NotRun);
+        bench.wake(1, milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.acks.size());
+        bench.commit(0, late);
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::StoreUnavailable);
+        bench.claim(1, 2);
+        bench.wake(1, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(2) == ClaimVerdict::Granted);
+    }
+
+    // Guards against a holder that forgets an outcome which is not yet stored.
+    void outcomeIsAcknowledgedAfterItsWrite()
+    {
+        Bench bench;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        bench.writeFault = StoreError::Unavailable;
+        bench.outcome(0, 1, ClaimState::Ran);
+        bench.wake(0, milliseconds(100));
+        CPPUNIT_ASSERT(bench.acks.empty());
+        bench.writeFault = StoreError::None;
+        bench.wake(0, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.acks.size());
+    }
+
+    // Guards against keys that are granted again once their record left the open object.
+    void sealedRecordsStayKnown()
+    {
+        ClaimShardOptions options;
+        options.sealBytes = 2000;
+        Bench bench(options);
+        for (std::uint64_t id = 1; id <= 100; ++id) {
+            bench.claim(0, id, "k" + std::to_string(id));
+            bench.wake(0, kBatch);
+        }
+        CPPUNIT_ASSERT(bench.object.segments.size() >= 3);
+        CPPUNIT_ASSERT_EQUAL(100, bench.granted());
+        bench.addOwner();
+        for (std::uint64_t id = 1; id <= 100; ++id) {
+            bench.claim(1, 1000 + id, "k" + std::to_string(id));
+            bench.wake(1, bench.options.holderWait);
+            CPPUNIT_ASSERT(bench.verdict(1000 + id) == ClaimVerdict::MayHaveRun);
+        }
+    }
+
+    // Guards against grants while part of the records cannot be read.
+    void missingSegmentGrantsNothing()
+    {
+        Bench bench;
+        bench.object.segments = {{"claims/7/0-1", bench.time.wall, 5}};
+        bench.version = 2;
+        bench.claim(0, 1);
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(1) == ClaimVerdict::StoreUnavailable);
+    }
+
+    // Guards against an object that grows for ever.
+    void expiredRecordsLeave()
+    {
+        ClaimShardOptions options;
+        options.sealBytes = 2000;
+        Bench bench(options);
+        for (std::uint64_t id = 1; id <= 50; ++id) {
+            bench.claim(0, id, "k" + std::to_string(id));
+            bench.wake(0, kBatch);
+        }
+        CPPUNIT_ASSERT(!bench.object.segments.empty());
+        bench.wake(0, seconds(24 * 3600 + 10));
+        bench.claim(0, 60, "k1");
+        bench.wake(0, kBatch);
+        CPPUNIT_ASSERT(bench.verdict(60) == ClaimVerdict::Granted);
+        CPPUNIT_ASSERT(bench.object.segments.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.object.open.size());
+        CPPUNIT_ASSERT(!bench.cleared.empty());
+    }
+
+    // Guards against a shard without a bound.
+    void fullShardRefuses()
+    {
+        ClaimShardOptions options;
+        options.maxRecords = 3;
+        Bench bench(options);
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            bench.claim(0, id, "k" + std::to_string(id));
+            bench.wake(0, kBatch);
+        }
+        CPPUNIT_ASSERT_EQUAL(3, bench.granted());
+        CPPUNIT_ASSERT(bench.verdict(4) == ClaimVerdict::Full);
+    }
+
+    // Guards against "never claimed" from an old copy, on which a caller may order again.
+    void lookupsAreFresh()
+    {
+        Bench bench;
+        bench.addOwner();
+        bench.lookUp(0);
+        CPPUNIT_ASSERT(!bench.lookups.back().record);
+        bench.claim(1, 1);
+        bench.wake(1, kBatch);
+        bench.outcome(1, 1, ClaimState::Ran);
+        bench.wake(1, milliseconds(100));
+        bench.lookUp(0);
+        CPPUNIT_ASSERT(bench.lookups.back().record->state == ClaimState::Ran);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimShardTest);
+
+} // namespace hawthornslip
