--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,8 @@
 
 clean:
 	rm -rf build
+
+.PHONY: fuzz
+# Searches each parser of outside bytes for a minute.
+fuzz: setup
+	@JOBS=$(JOBS) tools/fuzz.sh --seconds 60
--- a/servers/operator/operator_client.cpp
+++ b/servers/operator/operator_client.cpp
@@ -13,9 +13,9 @@
 } // namespace
 
 OperatorClient::OperatorClient(UpstreamClient &client, OperatorEndpoint endpoint)
-    : m_client(client), m_endpoint(std::move(endpoint))
-{
-}
+    : m_client(client)
+    , m_endpoint(std::move(endpoint))
+{}
 
 OperatorReply OperatorClient::get(const std::string &path)
 {
@@ -40,8 +40,8 @@
     UpstreamRequest request;
     request.method = method;
     request.url = m_endpoint.url + path;
-    request.headers = { { "Authorization", "Bearer " + m_endpoint.key },
-                        { "Content-Type", "application/json" } };
+    request.headers = {{"Authorization", "Bearer " + m_endpoint.key},
+                       {"Content-Type", "application/json"}};
     request.body = std::move(body);
     request.totalTimeout = timeout;
     const HttpReply answer = callAndWait(m_client, std::move(request));
--- /dev/null
+++ b/servers/operator/operator_service.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/interfaces/http_server.h"
+#include "servers/operator/operator_backend.h"
+
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/** The operator interface of a node: registers the routes below `/admin/` on a listener. */
+class OperatorService
+{
+public:
+    /**
+     * @param server gets the routes; not started yet.
+     * @param keyHashes hashes of the operator keys that get in.
+     */
+    OperatorService(HttpServer &server, OperatorBackend &backend,
+                    std::vector<std::string> keyHashes);
+
+private:
+    using Action = OperatorAnswer (OperatorService::*)(const HttpRequest &);
+
+    void addRoute(const std::string &method, const std::string &path, Action action);
+    HttpAnswer serve(const HttpRequest &request, Action action);
+    bool authorized(const HttpRequest &request) const;
+
+    OperatorAnswer readConfig(const HttpRequest &request);
+    OperatorAnswer readHistory(const HttpRequest &request);
+    OperatorAnswer applyConfig(const HttpRequest &request);
+    OperatorAnswer readStatus(const HttpRequest &request);
+    OperatorAnswer readNodes(const HttpRequest &request);
+    OperatorAnswer changeUpstream(const HttpRequest &request);
+
+    OperatorBackend &m_backend;
+    HttpServer &m_server;
+    std::vector<std::string> m_keyHashes;
+};
+
+} // namespace hawthornslip
