Add membership by a sparse ring of observers

Cause: Nodes must agree within seconds on which of them are live; the VM list lags.

Deaths are announced to all nodes, other differences are repaired by gossip on probes and by an exchange of lists. A node that is held dead refutes; a node that hears nobody announces no deaths. A death that is only hearsay is checked first, so that halves of a partition do not kill each other.

--- /dev/null
+++ b/modules/membership/failure_detector.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "core/time.h"
+#include "modules/membership/membership_events.h"
+#include "modules/membership/membership_table.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace hawthornslip {
+
+/** Times and counts of the failure detector. */
+struct DetectorSettings
+{
+    /** Nodes that watch each node: its predecessors on the ring. */
+    std::size_t observers = 4;
+    Duration probeInterval = seconds(1);
+    Duration tickInterval = milliseconds(100);
+    /** An answer that takes longer makes the observer ask helpers for indirect probes. */
+    Duration indirectAfter = milliseconds(350);
+    std::size_t helpers = 2;
+    /**
+     * Silence that makes a node suspect. A pause of 2 s and a probe interval stay below it, and
+     * with the confirmation a crash is known everywhere within 4 s.
+     */
+    Duration silenceLimit = milliseconds(3100);
+    /** How long a second observer's suspicion counts. */
+    Duration voteLifetime = seconds(2);
+    Duration voteInterval = milliseconds(500);
+    /** A node heard within this time is able to confirm a suspicion. */
+    Duration responsiveWithin = seconds(2);
+    /** A node that others report dead is checked for this long before it is taken for dead. */
+    Duration checkTime = milliseconds(1200);
+    /** A longer gap between ticks means that this node itself stood still. */
+    Duration pauseLimit = milliseconds(600);
+};
+
+/** A node that the detector takes for dead. */
+struct Death
+{
+    NodeId node;
+    /** Whether to tell all nodes, or only to note it here. */
+    bool announce = false;
+};
+
+/** What the detector wants done. */
+struct DetectorFindings
+{
+    membership::Actions actions;
+    std::vector<Death> deaths;
+};
+
+/** A probe that was sent and not yet answered. */
+struct OpenProbe
+{
+    NodeId target;
+    TimePoint sent;
+    /** The node that asked for an indirect probe, or empty. */
+    NodeId origin;
+    std::uint64_t originNonce = 0;
+};
+
+/**
+ * Watches the successors of this node on the ring and decides which nodes are dead. A node that
+ * answers neither direct nor indirect probes is suspect; a second observer confirms it.
+ */
+class FailureDetector
+{
+public:
+    /**
+     * @param table the members; must outlive the detector.
+     * @param random chooses nonces and helpers; must outlive the detector.
+     */
+    FailureDetector(const MembershipTable &table, DetectorSettings settings,
+                    std::mt19937_64 &random);
+
+    /** Watches the present successors; to be called after each change of the live nodes. */
+    void updateTargets(TimePoint now, DetectorFindings &findings);
+
+    /** Sends due probes and checks how long the watched nodes have been silent. */
+    void tick(TimePoint now, DetectorFindings &findings);
+
+    /** Notes that any message of @p node arrived. */
+    void heard(const NodeId &node, TimePoint now) { m_heard[node] = now; }
+
+    /** Notes that @p node answered: it receives and sends. */
+    void answered(const NodeId &node, TimePoint now);
+
+    /** Notes that @p from takes @p about for dead; starts a check of a node not watched here. */
+    void suspected(const NodeId &from, const NodeId &about, TimePoint now,
+                   DetectorFindings &findings);
+
+    /** Sends a probe to @p node, for @p origin when that is not empty. */
+    void probe(const NodeId &node, TimePoint now, DetectorFindings &findings,
+               const NodeId &origin = {}, std::uint64_t originNonce = 0);
+
+    /** @return the open probe with @p nonce, which is then closed, or nothing. */
+    std::optional<OpenProbe> takeProbe(std::uint64_t nonce);
+
+    /** Drops what is noted about nodes that the table has forgotten. */
+    void forgetUnknown();
+
+    /** @return true while this node gets answers from any other. */
+    bool connected(TimePoint now) const;
+
+private:
+    struct Target
+    {
+        TimePoint lastHeard;
+        TimePoint lastProbe;
+        TimePoint lastVote;
+        int unanswered = 0;
+        bool helpersAsked = false;
+    };
+
+    /** A node that another node reported dead and that is not watched here. */
+    struct Check
+    {
+        TimePoint started;
+        std::set<NodeId> voters;
+        bool helpersAsked = false;
+    };
+
+    void probeTarget(const NodeId &node, Target &target, TimePoint now, DetectorFindings &findings);
+    void askHelpers(const NodeId &node, TimePoint now, DetectorFindings &findings);
+    void judge(const NodeId &node, Target &target, TimePoint now, DetectorFindings &findings);
+    void vote(const NodeId &about, const NodeId &to, DetectorFindings &findings) const;
+    void runChecks(TimePoint now, DetectorFindings &findings);
+    void resumeAfterPause(TimePoint now);
+    bool responsive(const NodeId &node, TimePoint now) const;
+    bool confirmed(const NodeId &node, TimePoint now) const;
+    std::vector<NodeId> fellowObservers(const NodeId &node) const;
+
+    const MembershipTable &m_table;
+    DetectorSettings m_settings;
+    std::mt19937_64 &m_random;
+    std::map<NodeId, Target> m_targets;
+    std::map<NodeId, Check> m_checks;
+    /** When each node suspected another, by the suspected node. */
+    std::map<NodeId, std::map<NodeId, TimePoint>> m_votes;
+    std::map<NodeId, TimePoint> m_heard;
+    std::map<std::uint64_t, OpenProbe> m_open;
+    std::optional<TimePoint> m_lastTick;
+    std::optional<TimePoint> m_lastAnswer;
+    TimePoint m_nextRound;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/membership/membership_protocol.cpp
@@ -0,0 +1,357 @@
+#include "modules/membership/membership_protocol.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+using namespace membership; // NOLINT(google-build-using-namespace)
+
+// Changes ride on probes and answers for this long, which repairs a lost announcement.
+constexpr auto kGossipTime = seconds(3);
+constexpr std::size_t kGossipLimit = 8;
+// Lists are exchanged when gossip did not repair a difference; the interval doubles while the
+// exchange changes nothing, for example while a partition keeps two views apart.
+constexpr auto kDifferenceLimit = seconds(3);
+constexpr auto kSyncInterval = seconds(3);
+constexpr auto kMaxSyncInterval = seconds(60);
+constexpr auto kJoinInterval = seconds(1);
+// Longer than any loss of contact between regions, so that the halves find each other again.
+constexpr auto kDeadRetention = seconds(3600);
+constexpr auto kCandidateInterval = seconds(1);
+// Without contact more candidates are tried, so that a start does not wait for stale entries.
+constexpr int kProbesWhenAlone = 3;
+constexpr auto kToldDeadInterval = seconds(1);
+
+bool sameOrNewer(const MemberUpdate &a, const MemberUpdate &b)
+{
+    return std::tie(a.incarnation, a.refutation) >= std::tie(b.incarnation, b.refutation);
+}
+
+MemberUpdate asHearsay(MemberUpdate update)
+{
+    // The receiver checks a death that it only hears of, since it may be long outdated.
+    if (update.state == MemberState::Dead)
+        update.state = MemberState::Suspect;
+    return update;
+}
+
+} // namespace
+
+MembershipProtocol::MembershipProtocol(MemberUpdate self, std::uint64_t seed, TimePoint now,
+                                       DetectorSettings settings)
+    : m_random(seed)
+    , m_table(std::move(self), now)
+    , m_detector(m_table, settings, m_random)
+    , m_settings(settings)
+    , m_now(now)
+    , m_nextSync(now)
+    , m_syncInterval(kSyncInterval)
+{}
+
+Actions MembershipProtocol::handle(const Event &event, TimePoint now)
+{
+    m_now = now;
+    std::visit([this](const auto &it) { on(it); }, event);
+    settle();
+    for (auto &it : m_findings.actions) {
+        if (auto *probe = std::get_if<SendProbe>(&it))
+            complete(*probe);
+    }
+    return std::exchange(m_findings.actions, {});
+}
+
+void MembershipProtocol::settle()
+{
+    while (!m_findings.deaths.empty() || m_changed) {
+        for (const auto &it : std::exchange(m_findings.deaths, {}))
+            declareDead(it);
+        if (std::exchange(m_changed, false)) {
+            m_detector.updateTargets(m_now, m_findings);
+            m_findings.actions.emplace_back(LiveNodesChanged{});
+        }
+    }
+}
+
+void MembershipProtocol::complete(SendProbe &probe) const
+{
+    probe.digest = m_table.digest();
+    // A node that we do not hold live may not know us either.
+    probe.updates = recentUpdates(!m_table.isLive(probe.to));
+}
+
+std::vector<MemberUpdate> MembershipProtocol::recentUpdates(bool withSelf) const
+{
+    auto updates = m_table.changedSince(m_now - kGossipTime, kGossipLimit);
+    if (withSelf) {
+        std::erase_if(updates, [&](const auto &it) { return it.node == m_table.self().node; });
+        updates.insert(updates.begin(), m_table.self());
+    }
+    for (auto &it : updates)
+        it = asHearsay(std::move(it));
+    return updates;
+}
+
+void MembershipProtocol::on(const Tick &)
+{
+    if (m_stopped)
+        return;
+    m_detector.tick(m_now, m_findings);
+    if (m_now < m_nextCandidateProbe)
+        return;
+    m_nextCandidateProbe = m_now + kCandidateInterval;
+    m_table.forgetDead(m_now - kDeadRetention, m_candidates);
+    const auto unknown = [this](const auto &it) { return m_table.find(it.first) == nullptr; };
+    std::erase_if(m_toldDead, unknown);
+    std::erase_if(m_differsSince, unknown);
+    m_detector.forgetUnknown();
+    probeCandidates();
+}
+
+void MembershipProtocol::probeCandidates()
+{
+    std::set<NodeId> unreached;
+    for (const auto &it : m_candidates) {
+        if (!m_table.isLive(it))
+            unreached.insert(it);
+    }
+    for (const auto &[node, member] : m_table.members()) {
+        if (!member.live())
+            unreached.insert(node);
+    }
+    unreached.erase(m_table.self().node);
+    const int n = m_table.ring().size() > 1 ? 1 : kProbesWhenAlone;
+    std::vector<NodeId> chosen;
+    std::sample(unreached.begin(), unreached.end(), std::back_inserter(chosen), n, m_random);
+    for (const auto &it : chosen)
+        m_detector.probe(it, m_now, m_findings);
+}
+
+void MembershipProtocol::on(const CandidatesListed &event)
+{
+    m_candidates = event.nodes;
+    std::erase(m_candidates, m_table.self().node);
+    // The first list is tried at once.
+    if (!m_joined)
+        m_nextCandidateProbe = m_now;
+}
+
+void MembershipProtocol::on(const ProbeReceived &event)
+{
+    noteSender(event.sender, event.incarnation);
+    const bool introduced =
+            std::any_of(event.updates.begin(), event.updates.end(),
+                        [&](const MemberUpdate &it) { return it.node == event.sender; });
+    takeAll(event.sender, event.updates);
+    m_findings.actions.emplace_back(
+            SendAck{event.sender, event.nonce, m_table.digest(), {}, recentUpdates(introduced)});
+    noteDigest(event.sender, event.digest);
+}
+
+void MembershipProtocol::on(const AckReceived &event)
+{
+    noteSender(event.sender, event.incarnation);
+    takeAll(event.sender, event.updates);
+    const auto probe = m_detector.takeProbe(event.nonce);
+    if (!event.target.empty()) {
+        if (probe && probe->target == event.target)
+            m_detector.answered(event.target, m_now);
+        return;
+    }
+    if (probe && probe->target == event.sender) {
+        m_detector.answered(event.sender, m_now);
+        if (!probe->origin.empty())
+            m_findings.actions.emplace_back(
+                    SendAck{probe->origin, probe->originNonce, m_table.digest(), event.sender, {}});
+    }
+    if (!m_joined)
+        sendFullState(event.sender);
+    noteDigest(event.sender, event.digest);
+}
+
+void MembershipProtocol::on(const ProbeRequestReceived &event)
+{
+    m_detector.heard(event.sender, m_now);
+    m_detector.probe(event.target, m_now, m_findings, event.sender, event.nonce);
+}
+
+void MembershipProtocol::on(const UpdatesReceived &event)
+{
+    noteSender(event.sender, event.incarnation);
+    takeAll(event.sender, event.updates);
+    if (event.fullStateWanted) {
+        answerFullState(event.sender, event.updates);
+        return;
+    }
+    const bool fromItself =
+            std::any_of(event.updates.begin(), event.updates.end(),
+                        [&](const MemberUpdate &it) { return it.node == event.sender; });
+    if (!fromItself)
+        return;
+    m_detector.answered(event.sender, m_now);
+    if (!std::exchange(m_joined, true))
+        announce(m_table.self(), false);
+}
+
+void MembershipProtocol::on(const MessageReceived &event)
+{
+    noteSender(event.sender, event.incarnation);
+}
+
+void MembershipProtocol::on(const LeaveRequested &)
+{
+    if (m_table.self().state != MemberState::Alive)
+        return;
+    m_table.setSelfState(MemberState::Leaving, m_now);
+    m_changed = true;
+    announce(m_table.self(), false);
+}
+
+void MembershipProtocol::on(const StopRequested &)
+{
+    m_stopped = true;
+    MemberUpdate gone = m_table.self();
+    gone.state = MemberState::Dead;
+    announce(gone, false);
+}
+
+void MembershipProtocol::noteSender(const NodeId &sender, std::uint64_t incarnation)
+{
+    m_detector.heard(sender, m_now);
+    const Member *member = m_table.find(sender);
+    if (member == nullptr)
+        return;
+    const bool outdated = incarnation < member->update.incarnation;
+    const bool heldDead = !member->live() && incarnation == member->update.incarnation;
+    if (!outdated && !heldDead)
+        return;
+    TimePoint &told = m_toldDead[sender];
+    if (m_now - told < kToldDeadInterval)
+        return;
+    told = m_now;
+    m_findings.actions.emplace_back(SendUpdates{sender, {member->update}, false});
+}
+
+void MembershipProtocol::noteDigest(const NodeId &sender, std::uint32_t digest)
+{
+    if (digest == m_table.digest()) {
+        m_differsSince.erase(sender);
+        if (m_differsSince.empty())
+            m_syncInterval = kSyncInterval;
+        return;
+    }
+    const TimePoint since = m_differsSince.try_emplace(sender, m_now).first->second;
+    if (m_now - since < kDifferenceLimit || m_now < m_nextSync)
+        return;
+    m_differsSince.erase(sender);
+    sendFullState(sender);
+}
+
+void MembershipProtocol::takeAll(const NodeId &sender, const std::vector<MemberUpdate> &updates)
+{
+    for (const auto &it : updates)
+        take(sender, it);
+}
+
+void MembershipProtocol::take(const NodeId &sender, const MemberUpdate &update)
+{
+    if (update.node == m_table.self().node) {
+        takeAboutSelf(sender, update);
+        return;
+    }
+    if (update.state == MemberState::Suspect) {
+        const Member *member = m_table.find(update.node);
+        if (member != nullptr && member->live() && sameOrNewer(update, member->update))
+            m_detector.suspected(sender, update.node, m_now, m_findings);
+        return;
+    }
+    if (m_table.apply(update, m_now) != ApplyResult::Changed)
+        return;
+    m_changed = true;
+    if (update.state == MemberState::Dead)
+        m_findings.actions.emplace_back(ClosePeer{update.node});
+}
+
+void MembershipProtocol::takeAboutSelf(const NodeId &sender, const MemberUpdate &update)
+{
+    const MemberUpdate &self = m_table.self();
+    if (update.incarnation > self.incarnation) {
+        m_findings.actions.emplace_back(AddressTaken{update.incarnation});
+        return;
+    }
+    const bool claimsDeath =
+            update.state == MemberState::Dead || update.state == MemberState::Suspect;
+    if (!claimsDeath || m_stopped)
+        return;
+    const bool current = update.incarnation == self.incarnation;
+    if (update.state == MemberState::Dead && current && update.refutation >= self.refutation) {
+        m_table.refuteAbove(update.refutation, m_now);
+        // Nodes that are held dead get it too: after a partition they hold us dead as well.
+        announce(m_table.self(), true);
+    }
+    m_findings.actions.emplace_back(SendUpdates{sender, {m_table.self()}, false});
+}
+
+void MembershipProtocol::declareDead(const Death &death)
+{
+    const Member *member = m_table.find(death.node);
+    if (member == nullptr || !member->live())
+        return;
+    MemberUpdate update = member->update;
+    update.state = MemberState::Dead;
+    m_table.apply(update, m_now);
+    m_changed = true;
+    if (death.announce) {
+        announce(update, false);
+        // It may live and only be out of our reach: it can refute then.
+        m_findings.actions.emplace_back(SendUpdates{death.node, {update}, false});
+    } else {
+        m_findings.actions.emplace_back(ClosePeer{death.node});
+    }
+}
+
+void MembershipProtocol::announce(const MemberUpdate &update, bool alsoDead)
+{
+    for (const auto &[node, member] : m_table.members()) {
+        if (node != m_table.self().node && node != update.node && (member.live() || alsoDead))
+            m_findings.actions.emplace_back(SendUpdates{node, {update}, false});
+    }
+}
+
+void MembershipProtocol::sendFullState(const NodeId &to)
+{
+    if (m_now < m_nextSync)
+        return;
+    m_nextSync = m_now + (m_joined ? m_syncInterval : kJoinInterval);
+    if (m_joined)
+        m_syncInterval = std::min<Duration>(m_syncInterval * 2, kMaxSyncInterval);
+    SendUpdates full{to, {}, true};
+    for (const auto &[node, member] : m_table.members()) {
+        if (member.live())
+            full.updates.push_back(member.update);
+    }
+    m_findings.actions.emplace_back(std::move(full));
+}
+
+void MembershipProtocol::answerFullState(const NodeId &to, const std::vector<MemberUpdate> &theirs)
+{
+    std::map<NodeId, MemberUpdate> known;
+    for (const auto &it : theirs)
+        known[it.node] = it;
+    SendUpdates answer{to, {m_table.self()}, false};
+    for (const auto &[node, member] : m_table.members()) {
+        if (node == m_table.self().node || node == to)
+            continue;
+        const auto it = known.find(node);
+        if (it == known.end() ? member.live() : it->second != member.update)
+            answer.updates.push_back(asHearsay(member.update));
+    }
+    m_findings.actions.emplace_back(std::move(answer));
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/membership/membership_protocol.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/time.h"
+#include "modules/membership/failure_detector.h"
+#include "modules/membership/membership_events.h"
+#include "modules/membership/membership_table.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * Decides which nodes are live: takes what arrived and the time, and returns what to send. Joins
+ * the table, the failure detector, the announcement of changes and the repair of differences.
+ */
+class MembershipProtocol
+{
+public:
+    /**
+     * @param self this node with its incarnation and place.
+     * @param seed for nonces and random choices.
+     */
+    MembershipProtocol(MemberUpdate self, std::uint64_t seed, TimePoint now,
+                       DetectorSettings settings = {});
+
+    MembershipProtocol(const MembershipProtocol &) = delete;
+    MembershipProtocol &operator=(const MembershipProtocol &) = delete;
+
+    /** Takes @p event at @p now. @return what to do, in order. */
+    membership::Actions handle(const membership::Event &event, TimePoint now);
+
+    const MembershipTable &table() const { return m_table; }
+
+    /** @return the nodes that the VM list and the seeds name, without this one. */
+    const std::vector<NodeId> &candidates() const { return m_candidates; }
+
+private:
+    void on(const membership::Tick &event);
+    void on(const membership::CandidatesListed &event);
+    void on(const membership::ProbeReceived &event);
+    void on(const membership::AckReceived &event);
+    void on(const membership::ProbeRequestReceived &event);
+    void on(const membership::UpdatesReceived &event);
+    void on(const membership::MessageReceived &event);
+    void on(const membership::LeaveRequested &event);
+    void on(const membership::StopRequested &event);
+
+    void noteSender(const NodeId &sender, std::uint64_t incarnation);
+    void noteDigest(const NodeId &sender, std::uint32_t digest);
+    void take(const NodeId &sender, const MemberUpdate &update);
+    void takeAboutSelf(const NodeId &sender, const MemberUpdate &update);
+    void takeAll(const NodeId &sender, const std::vector<MemberUpdate> &updates);
+    void declareDead(const Death &death);
+    void announce(const MemberUpdate &update, bool alsoDead);
+    void sendFullState(const NodeId &to);
+    void answerFullState(const NodeId &to, const std::vector<MemberUpdate> &theirs);
+    void probeCandidates();
+    void settle();
+    void complete(membership::SendProbe &probe) const;
+    std::vector<MemberUpdate> recentUpdates(bool withSelf) const;
+
+    std::mt19937_64 m_random;
+    MembershipTable m_table;
+    FailureDetector m_detector;
+    DetectorSettings m_settings;
+    TimePoint m_now;
+    DetectorFindings m_findings;
+    std::vector<NodeId> m_candidates;
+    bool m_changed = false;
+    /** Whether a whole list of another node was received. */
+    bool m_joined = false;
+    bool m_stopped = false;
+    TimePoint m_nextCandidateProbe;
+    TimePoint m_nextSync;
+    Duration m_syncInterval;
+    /** Since when the digest of a peer has differed from ours. */
+    std::map<NodeId, TimePoint> m_differsSince;
+    /** When a node that is held dead was last told so. */
+    std::map<NodeId, TimePoint> m_toldDead;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/membership/tests/membership_protocol_test.cpp
@@ -0,0 +1,346 @@
+#include "modules/membership/membership_protocol.h"
+#include "tests/support/membership_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <numeric>
+
+namespace hawthornslip {
+
+namespace {
+
+using test::MembershipCluster;
+
+constexpr std::uint64_t kSeeds = 5;
+// The stated target for a crash to be known everywhere.
+constexpr auto kDetectionLimit = seconds(4);
+
+std::vector<std::size_t> numbers(std::size_t from, std::size_t to)
+{
+    std::vector<std::size_t> list(to - from);
+    std::iota(list.begin(), list.end(), from);
+    return list;
+}
+
+std::unique_ptr<MembershipCluster> settledCluster(std::size_t n, std::uint64_t seed)
+{
+    auto cluster = std::make_unique<MembershipCluster>(n, seed);
+    cluster->startAll();
+    CPPUNIT_ASSERT(cluster->runUntil(seconds(30), [&] { return cluster->settled(); }));
+    cluster->run(seconds(10));
+    CPPUNIT_ASSERT(cluster->settled());
+    return cluster;
+}
+
+} // namespace
+
+class MembershipProtocolTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipProtocolTest);
+    CPPUNIT_TEST(crashIsKnownInTime);
+    CPPUNIT_TEST(crashIsKnownInTimeWithLoss);
+    CPPUNIT_TEST(crashOfFailureDomainIsKnown);
+    CPPUNIT_TEST(shortPauseIsNoDeath);
+    CPPUNIT_TEST(lossIsNoDeath);
+    CPPUNIT_TEST(pausedNodeDiesAndRefutes);
+    CPPUNIT_TEST(restartReplacesIncarnation);
+    CPPUNIT_TEST(oneWayLinkIsNoDeath);
+    CPPUNIT_TEST(deafNodeHarmsNoOther);
+    CPPUNIT_TEST(muteNodeIsDead);
+    CPPUNIT_TEST(halvesPartAndHeal);
+    CPPUNIT_TEST(halvesPartOneWayAndHeal);
+    CPPUNIT_TEST(staleListNamesGoneNodes);
+    CPPUNIT_TEST(staleListLacksLiveNodes);
+    CPPUNIT_TEST(leavingIsKnownEverywhereAndFinal);
+    CPPUNIT_TEST(stoppedNodeIsGoneAtOnce);
+    CPPUNIT_TEST(chaosConverges);
+    CPPUNIT_TEST(twoNodesAndOneAlone);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a detector that is slower than the target at any size.
+    void crashIsKnownInTime()
+    {
+        for (const std::size_t n : {3U, 9U, 36U}) {
+            for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+                checkCrash(n, seed, 0);
+        }
+    }
+
+    void crashIsKnownInTimeWithLoss()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+            checkCrash(9, seed, 0.01);
+    }
+
+    // Guards against observers that wait for the confirmation of an observer that died as well.
+    void crashOfFailureDomainIsKnown()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(36, seed);
+            for (std::size_t i = 0; i < 36; i += 3)
+                cluster->crash(i);
+            // A second row of observers takes over where all observers of a node died.
+            CPPUNIT_ASSERT(cluster->runUntil(seconds(6), [&] { return cluster->settled(); }));
+        }
+    }
+
+    // Guards against taking a process that stood still for 2 s for dead.
+    void shortPauseIsNoDeath()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            for (std::size_t i = 0; i < 9; ++i) {
+                cluster->pause(i, seconds(2));
+                cluster->run(milliseconds(4370), [&] { CPPUNIT_ASSERT(cluster->settled()); });
+            }
+        }
+    }
+
+    // Guards against deaths by lost messages alone.
+    void lossIsNoDeath()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            cluster->network.faults.loss = 0.05;
+            cluster->run(seconds(300), [&] { CPPUNIT_ASSERT(cluster->settled()); });
+        }
+    }
+
+    // Guards against a node that stays dead for others after it resumed, or is never found dead.
+    void pausedNodeDiesAndRefutes()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            const auto others = numbers(1, 9);
+            cluster->pause(0, seconds(20));
+            CPPUNIT_ASSERT(cluster->runUntil(kDetectionLimit,
+                                             [&] { return cluster->agree(others, others); }));
+            cluster->run(seconds(15), [&] { CPPUNIT_ASSERT(cluster->agree(others, others)); });
+            CPPUNIT_ASSERT(cluster->runUntil(seconds(4), [&] { return cluster->settled(); }));
+            CPPUNIT_ASSERT(cluster->table(1).find(MembershipCluster::idOf(0))->update.refutation >
+                           0);
+            cluster->run(seconds(30), [&] { CPPUNIT_ASSERT(cluster->settled()); });
+        }
+    }
+
+    // Guards against a restarted process that others still take for the old one.
+    void restartReplacesIncarnation()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            for (const auto downtime : {milliseconds(100), seconds(10)}) {
+                auto cluster = settledCluster(9, seed);
+                cluster->crash(4);
+                cluster->run(downtime);
+                cluster->start(4);
+                const auto renewed = [&] {
+                    const auto wanted = cluster->table(4).self().incarnation;
+                    for (std::size_t i = 0; i < 9; ++i) {
+                        const auto *member = cluster->table(i).find(MembershipCluster::idOf(4));
+                        if (!member->live() || member->update.incarnation != wanted)
+                            return false;
+                    }
+                    return cluster->settled();
+                };
+                CPPUNIT_ASSERT(cluster->runUntil(seconds(3), renewed));
+                cluster->run(seconds(20), [&] { CPPUNIT_ASSERT(renewed()); });
+            }
+        }
+    }
+
+    // Guards against one broken link that makes a healthy node look dead.
+    void oneWayLinkIsNoDeath()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            cluster->network.blocked = [](auto from, auto to) { return from == 2 && to == 5; };
+            cluster->run(seconds(60), [&] { CPPUNIT_ASSERT(cluster->settled()); });
+        }
+    }
+
+    // Guards against a node that receives nothing and tells everybody that all others are dead.
+    void deafNodeHarmsNoOther()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            const auto others = numbers(1, 9);
+            cluster->network.blocked = [](auto, auto to) { return to == 0; };
+            CPPUNIT_ASSERT(cluster->runUntil(kDetectionLimit,
+                                             [&] { return cluster->agree(others, others); }));
+            cluster->run(seconds(60), [&] { CPPUNIT_ASSERT(cluster->agree(others, others)); });
+            cluster->network.blocked = {};
+            CPPUNIT_ASSERT(cluster->runUntil(seconds(15), [&] { return cluster->settled(); }));
+        }
+    }
+
+    // Guards against a node that cannot send and is still taken for an owner.
+    void muteNodeIsDead()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            const auto others = numbers(1, 9);
+            cluster->network.blocked = [](auto from, auto) { return from == 0; };
+            CPPUNIT_ASSERT(cluster->runUntil(kDetectionLimit,
+                                             [&] { return cluster->agree(others, others); }));
+            cluster->run(seconds(60), [&] { CPPUNIT_ASSERT(cluster->agree(others, others)); });
+            cluster->network.blocked = {};
+            CPPUNIT_ASSERT(cluster->runUntil(seconds(15), [&] { return cluster->settled(); }));
+        }
+    }
+
+    // Guards against halves that never part, never find each other again, or kill their own
+    // members with what the other half believes.
+    void halvesPartAndHeal()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            cluster->network.blocked = [](auto from, auto to) { return (from < 4) != (to < 4); };
+            checkHalves(*cluster);
+        }
+    }
+
+    void halvesPartOneWayAndHeal()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            cluster->network.blocked = [](auto from, auto to) { return from < 4 && to >= 4; };
+            checkHalves(*cluster);
+        }
+    }
+
+    // Guards against liveness taken from a list that lags.
+    void staleListNamesGoneNodes()
+    {
+        MembershipCluster cluster(9, 1);
+        for (std::size_t i = 0; i < 6; ++i)
+            cluster.start(i);
+        CPPUNIT_ASSERT(cluster.runUntil(seconds(10), [&] { return cluster.settled(); }));
+        cluster.run(seconds(60), [&] { CPPUNIT_ASSERT(cluster.settled()); });
+    }
+
+    void staleListLacksLiveNodes()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            MembershipCluster cluster(9, seed);
+            // Only the last node's list names another one, and nobody's list names the last.
+            for (std::size_t i = 0; i < 8; ++i)
+                cluster.start(i, std::vector{MembershipCluster::idOf(0)});
+            cluster.start(8, std::vector{MembershipCluster::idOf(3)});
+            CPPUNIT_ASSERT(cluster.runUntil(seconds(10), [&] { return cluster.settled(); }));
+            for (std::size_t i = 0; i < 9; ++i)
+                cluster.give(i, membership::CandidatesListed{{}});
+            cluster.run(seconds(30), [&] { CPPUNIT_ASSERT(cluster.settled()); });
+        }
+    }
+
+    // Guards against a leaving node that is counted on again by some node.
+    void leavingIsKnownEverywhereAndFinal()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            auto cluster = settledCluster(9, seed);
+            cluster->network.faults.loss = 0.05;
+            const auto leaving = [&] {
+                for (std::size_t i = 0; i < 9; ++i) {
+                    const auto *member = cluster->table(i).find(MembershipCluster::idOf(3));
+                    if (member->update.state != MemberState::Leaving)
+                        return false;
+                }
+                return true;
+            };
+            cluster->give(3, membership::LeaveRequested{});
+            CPPUNIT_ASSERT(cluster->runUntil(seconds(3), leaving));
+            // Its refutation after a pause must not make it an owner again.
+            cluster->pause(3, seconds(8));
+            cluster->run(seconds(8));
+            CPPUNIT_ASSERT(cluster->runUntil(seconds(6), leaving));
+        }
+    }
+
+    // Guards against waiting for the detector after a planned stop.
+    void stoppedNodeIsGoneAtOnce()
+    {
+        auto cluster = settledCluster(9, 1);
+        cluster->give(3, membership::StopRequested{});
+        cluster->crash(3);
+        CPPUNIT_ASSERT(cluster->runUntil(milliseconds(50), [&] { return cluster->settled(); })
+                               .has_value());
+    }
+
+    // Guards against any lasting damage by loss, duplicates, reordering, crashes and restarts.
+    void chaosConverges()
+    {
+        for (std::uint64_t seed = 1; seed <= kSeeds * 4; ++seed) {
+            MembershipCluster cluster(9, seed);
+            cluster.network.faults = {0.2, 0.1, milliseconds(1), milliseconds(800)};
+            std::mt19937_64 random(seed);
+            cluster.startAll();
+            for (int round = 0; round < 60; ++round) {
+                const std::size_t node = random() % 9;
+                const auto action = random() % 3;
+                if (action == 0)
+                    cluster.crash(node);
+                else if (action == 1)
+                    cluster.start(node);
+                else
+                    cluster.pause(node, milliseconds(static_cast<std::int64_t>(random() % 6000)));
+                cluster.run(milliseconds(static_cast<std::int64_t>(random() % 3000)));
+            }
+            cluster.network.faults = {};
+            // The last pause may take 6 s, in which the node may rightly be taken for dead.
+            cluster.run(seconds(6));
+            CPPUNIT_ASSERT(cluster.runUntil(seconds(30), [&] { return cluster.settled(); }));
+            cluster.run(seconds(30), [&] { CPPUNIT_ASSERT(cluster.settled()); });
+        }
+    }
+
+    // Guards against a confirmation that cannot come because there is no second observer.
+    void twoNodesAndOneAlone()
+    {
+        auto cluster = settledCluster(2, 1);
+        cluster->crash(1);
+        CPPUNIT_ASSERT(cluster->runUntil(kDetectionLimit, [&] { return cluster->settled(); }));
+        cluster->start(1);
+        CPPUNIT_ASSERT(cluster->runUntil(seconds(3), [&] { return cluster->settled(); }));
+    }
+
+private:
+    static void checkCrash(std::size_t n, std::uint64_t seed, double loss)
+    {
+        auto cluster = settledCluster(n, seed);
+        cluster->network.faults.loss = loss;
+        cluster->run(milliseconds(static_cast<std::int64_t>(seed * 170)));
+        cluster->crash(n / 2);
+        CPPUNIT_ASSERT(cluster->runUntil(kDetectionLimit, [&] { return cluster->settled(); }));
+        cluster->run(seconds(20), [&] { CPPUNIT_ASSERT(cluster->settled()); });
+    }
+
+    static void checkHalves(MembershipCluster &cluster)
+    {
+        const auto left = numbers(0, 4);
+        const auto right = numbers(4, 9);
+        const auto parted = [&] {
+            return cluster.agree(left, left) && cluster.agree(right, right);
+        };
+        CPPUNIT_ASSERT(cluster.runUntil(seconds(10), parted));
+        cluster.run(seconds(180), [&] { CPPUNIT_ASSERT(parted()); });
+        cluster.network.blocked = {};
+        const auto keptOwn = [&] {
+            for (const auto &half : {left, right}) {
+                for (const auto a : half) {
+                    for (const auto b : half)
+                        CPPUNIT_ASSERT(cluster.sees(a, b));
+                }
+            }
+        };
+        const TimePoint healed = cluster.now();
+        while (!cluster.settled()) {
+            cluster.run(milliseconds(10), keptOwn);
+            CPPUNIT_ASSERT(cluster.now() - healed < seconds(20));
+        }
+        cluster.run(seconds(30), [&] { CPPUNIT_ASSERT(cluster.settled()); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipProtocolTest);
+
+} // namespace hawthornslip
