Add the claim service

Cause: the request path claims keys through whichever node it runs on.

Change: ClaimService implements ClaimGateway over the shards: 64 shards by BLAKE2b of workspace and key, soft owners by rendezvous hashing, repeated claims with one id, outcomes repeated until acknowledged (new message ClaimOutcomeAck), holders asked about their claims (claim_id in OutcomeQuery and OutcomeReply), lookups through any node. ControlLoop can be stepped without its thread, so that tests drive the services in virtual time over small fakes in tests/support.

--- a/modules/claims/claim_shard_store.cpp
+++ b/modules/claims/claim_shard_store.cpp
@@ -47,7 +47,12 @@
         step(time, actions);
         return actions;
     }
-    if (read) {
+    // Fewer records than listed would free keys that were claimed.
+    const auto &refs = m_base.data().segments;
+    const bool whole = read && std::any_of(refs.begin(), refs.end(), [&](const auto &it) {
+                           return it.name == name && it.records == records->size();
+                       });
+    if (whole) {
         m_base.addSegment(name, *records);
         if (--m_segmentsToRead > 0)
             return actions;
--- /dev/null
+++ b/servers/claims/claim_service.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "core/interfaces/clock.h"
+#include "core/interfaces/metrics.h"
+#include "core/interfaces/object_store.h"
+#include "modules/claims/claim_holder.h"
+#include "modules/claims/claim_shard.h"
+#include "servers/claims/claim_gateway.h"
+#include "servers/membership/membership_source.h"
+#include "servers/peer/control_loop.h"
+#include "servers/peer/peer_bus.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace hawthornslip {
+
+/** Times and bounds of the claim service. */
+struct ClaimServiceOptions
+{
+    ClaimShardOptions shard;
+    ClaimHolderOptions holder;
+    /** How often timeouts and repeats are checked. */
+    Duration tick = milliseconds(25);
+    /** Longest wait for the answer to a lookup. */
+    Duration lookUpTimeout = seconds(2);
+    Duration lookUpRepeat = milliseconds(400);
+    /** A shard without work is dropped from memory after this time. */
+    Duration shardIdle = seconds(600);
+};
+
+/**
+ * Claims of keyed non-idempotent requests, over the shards of modules/claims. Each node asks the
+ * soft owner of a key's shard; a node that gets such a message serves it whether or not it believes
+ * to be the owner, because only the version of the shard's object decides.
+ */
+class ClaimService : public ClaimGateway
+{
+public:
+    /**
+     * Registers with @p bus and @p membership; all references have to outlive this object, and
+     * @p loop has to be stopped before it is destroyed.
+     *
+     * @param seed of the engine for claim ids; differs with each start of the process.
+     */
+    ClaimService(ControlLoop &loop, PeerBus &bus, MembershipSource &membership, ObjectStore &store,
+                 Metrics &metrics, const Clock &clock, std::uint64_t seed,
+                 ClaimServiceOptions options = {});
+
+    void claim(ClaimAsk ask, std::function<void(const ClaimAnswer &)> done) override;
+    void record(const ClaimTicket &ticket, Execution execution, int httpStatus) override;
+    void lookUp(const WorkspaceId &workspace, const std::string &key,
+                std::function<void(const OutcomeAnswer &)> done) override;
+
+    /** @return the hash under which a key is stored. */
+    static std::string keyHash(const WorkspaceId &workspace, const std::string &key);
+
+    /** @return the shard of a key hash. */
+    static std::uint32_t shardOf(const std::string &keyHash);
+
+    /** @return the live node that owns @p shard by rendezvous hashing, or this one. */
+    NodeId ownerOf(std::uint32_t shard) const;
+
+    /** @return claims of this node without a stored outcome; control thread only. */
+    std::size_t heldCount() const { return m_holder.heldCount(); }
+
+private:
+    struct Asked
+    {
+        ClaimTicket ticket;
+        std::function<void(const ClaimAnswer &)> done;
+    };
+
+    struct LookUp
+    {
+        std::uint32_t shard = 0;
+        std::string keyHash;
+        TimePoint deadline;
+        TimePoint repeatAt;
+        std::function<void(const OutcomeAnswer &)> done;
+    };
+
+    struct Slot
+    {
+        std::unique_ptr<ClaimShard> shard;
+        TimePoint wakeAt;
+        TimePoint lastUsed;
+    };
+
+    // claim_service.cpp: the asking node's side.
+    void startClaim(ClaimAsk ask, std::function<void(const ClaimAnswer &)> done);
+    void startLookUp(LookUp lookUp);
+    void sendQuery(std::uint64_t queryId, LookUp &lookUp);
+    void run(const ClaimHolderActions &actions);
+    void perform(const SendClaim &action);
+    void perform(const SendOutcome &action);
+    void perform(const AnswerClaim &action);
+    void onReply(const peer::ClaimReply &reply);
+    void onHolderQuery(const NodeId &sender, const peer::OutcomeQuery &query);
+    void onLookUpReply(const peer::OutcomeReply &reply);
+    void tick();
+    void checkLookUps();
+
+    // claim_owner.cpp: the owner's side.
+    void registerOwner();
+    void onRequest(const NodeId &sender, const peer::ClaimRequest &request);
+    void onOutcome(const NodeId &sender, const peer::ClaimOutcome &outcome);
+    void onQuery(const NodeId &sender, const peer::OutcomeQuery &query);
+    void onHolderReply(const peer::OutcomeReply &reply);
+    Slot &slotOf(std::uint32_t shard);
+    void run(std::uint32_t shard, ClaimActions actions);
+    void perform(std::uint32_t shard, const ReadClaimShard &action);
+    void perform(std::uint32_t shard, const ReadClaimSegment &action);
+    void perform(std::uint32_t shard, const WriteClaimShard &action);
+    void perform(std::uint32_t shard, const WriteClaimSegment &action);
+    void perform(std::uint32_t shard, const ClearClaimSegment &action);
+    void perform(std::uint32_t shard, const SendClaimReply &action);
+    void perform(std::uint32_t shard, const SendOutcomeAck &action);
+    void perform(std::uint32_t shard, const SendLookupReply &action);
+    void perform(std::uint32_t shard, const AskClaimHolder &action);
+    void perform(std::uint32_t shard, const WakeClaimShard &action);
+    void perform(std::uint32_t shard, const ClaimViolation &action);
+    void tickShards();
+    ClaimTime time() const;
+
+    ControlLoop &m_loop;
+    PeerBus &m_bus;
+    MembershipSource &m_membership;
+    ObjectStore &m_store;
+    Metrics &m_metrics;
+    const Clock &m_clock;
+    ClaimServiceOptions m_options;
+    std::mt19937_64 m_random;
+    ClaimHolder m_holder;
+    std::map<std::uint64_t, Asked> m_asked;
+    std::map<std::uint64_t, LookUp> m_lookUps;
+    std::map<std::uint32_t, Slot> m_slots;
+    std::vector<NodeId> m_candidates;
+};
+
+} // namespace hawthornslip
--- a/servers/peer/control_loop.cpp
+++ b/servers/peer/control_loop.cpp
@@ -78,16 +78,41 @@
     return std::this_thread::get_id() == m_thread.get_id();
 }
 
+std::size_t ControlLoop::runDue()
+{
+    std::vector<Task> due;
+    {
+        const std::lock_guard lock(m_mutex);
+        takeDue(due);
+    }
+    for (auto &it : due)
+        it();
+    return due.size();
+}
+
+std::optional<TimePoint> ControlLoop::nextTimer() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_timers.empty())
+        return std::nullopt;
+    return m_timers.begin()->first;
+}
+
+void ControlLoop::takeDue(std::vector<Task> &due)
+{
+    due.swap(m_tasks);
+    while (!m_timers.empty() && m_timers.begin()->first <= m_clock.now()) {
+        due.push_back(std::move(m_timers.begin()->second));
+        m_timers.erase(m_timers.begin());
+    }
+}
+
 void ControlLoop::runLoop()
 {
     std::vector<Task> due;
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
-        due.swap(m_tasks);
-        while (!m_timers.empty() && m_timers.begin()->first <= m_clock.now()) {
-            due.push_back(std::move(m_timers.begin()->second));
-            m_timers.erase(m_timers.begin());
-        }
+        takeDue(due);
         if (due.empty()) {
             auto sleep = std::chrono::duration_cast<Duration>(kLongestSleep);
             if (!m_timers.empty())
--- a/servers/peer/control_loop.h
+++ b/servers/peer/control_loop.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -50,6 +51,17 @@
     /** Runs @p task each @p interval until the loop stops. */
     void every(Duration interval, Task task);
 
+    /**
+     * Runs the tasks and timers that are due now on the calling thread. For a loop without a
+     * thread, which a test or an embedding program steps by itself.
+     *
+     * @return the number of tasks that ran.
+     */
+    std::size_t runDue();
+
+    /** @return when the next timer is due, or nothing when none is set. */
+    std::optional<TimePoint> nextTimer() const;
+
     /** @return true on the loop's own thread. */
     bool onLoopThread() const;
 
@@ -58,6 +70,7 @@
 
 private:
     void runLoop();
+    void takeDue(std::vector<Task> &due);
 
     const Clock &m_clock;
     mutable std::mutex m_mutex;
