Add the load generator

Change: open-loop arrivals drawn from a seed; each answer is checked token by token against its own request id; figures by class, reason and workspace. Latency counts from the planned arrival, so that a slow router cannot hide waits. A request in time has its first token within the target and the mean time between tokens within the token target.

--- /dev/null
+++ b/servers/load_generator/load_generator.cpp
@@ -0,0 +1,233 @@
+#include "servers/load_generator/load_generator.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace hawthornslip {
+
+namespace {
+
+/** How long a node without a connection gets no requests, as with a balancer's health check. */
+constexpr Duration kAvoidNode = seconds(1);
+constexpr Duration kProgressInterval = seconds(1);
+/** Time after the last request's own timeout until its missing end counts as a lost answer. */
+constexpr Duration kEndSlack = seconds(5);
+
+} // namespace
+
+/** One request in flight; its functions run on the client's thread. */
+class LoadGenerator::Call : public UpstreamHandler
+{
+public:
+    Call(LoadGenerator &owner, std::size_t index, std::size_t node, int attempt)
+        : m_owner(owner)
+        , m_index(index)
+        , m_node(node)
+        , m_attempt(attempt)
+        , m_checker(makeChecker(owner, index))
+    {}
+
+    void onHeaders(int httpStatus,
+                   const std::vector<std::pair<std::string, std::string>> &headers) override
+    {
+        m_outcome.status = httpStatus;
+        m_checker.begin(httpStatus);
+        for (const auto &[name, value] : headers) {
+            if (name == "x-hawthornslip-execution")
+                m_execution = value;
+        }
+    }
+
+    bool onData(std::string_view piece) override
+    {
+        m_checker.add(piece);
+        // An application's answer counts from its first byte.
+        const bool first = m_checker.tokens() > 0 || applicationCall();
+        if (first && m_outcome.firstToken.count() == 0)
+            m_outcome.firstToken = sinceArrival();
+        return true;
+    }
+
+    void onEnd(const UpstreamEnd &end) override
+    {
+        if (end.result == UpstreamResult::ConnectFailed) {
+            m_owner.retryElsewhere(m_index, m_node, m_attempt);
+            return;
+        }
+        m_checker.finish(end.result == UpstreamResult::Complete);
+        m_outcome.total = sinceArrival();
+        if (m_outcome.firstToken.count() == 0)
+            m_outcome.firstToken = m_outcome.total;
+        m_outcome.tokens = m_checker.tokens();
+        m_outcome.requestId = m_checker.requestId();
+        m_outcome.faults = m_checker.faults();
+        m_outcome.reason = m_checker.errorCode();
+        m_outcome.execution = m_checker.errorExecution();
+        if (m_outcome.execution.empty())
+            m_outcome.execution = m_execution;
+        m_outcome.result = resultOf(end);
+        m_owner.ended(m_index, m_outcome);
+    }
+
+private:
+    static AnswerChecker makeChecker(const LoadGenerator &owner, std::size_t index)
+    {
+        const auto &request = owner.m_plan[index];
+        const auto &loadClass = owner.m_spec.classes[request.loadClass];
+        if (loadClass.application())
+            return {false, request.marker, 0};
+        return {loadClass.streamed, "", request.tokens};
+    }
+
+    bool applicationCall() const
+    {
+        return m_owner.m_spec.classes[m_owner.m_plan[m_index].loadClass].application();
+    }
+
+    Duration sinceArrival() const
+    {
+        return m_owner.m_clock.now() - m_owner.m_start - m_owner.m_plan[m_index].at;
+    }
+
+    LoadResult resultOf(const UpstreamEnd &end) const
+    {
+        if (!m_checker.errorCode().empty())
+            return LoadResult::Refused;
+        if (m_checker.good())
+            return LoadResult::Answered;
+        const bool timedOut = end.result == UpstreamResult::TotalTimeout;
+        return end.result == UpstreamResult::Complete || timedOut ? LoadResult::Lost
+                                                                  : LoadResult::Broken;
+    }
+
+    LoadGenerator &m_owner;
+    std::size_t m_index;
+    std::size_t m_node;
+    int m_attempt;
+    AnswerChecker m_checker;
+    LoadOutcome m_outcome;
+    std::string m_execution;
+};
+
+LoadGenerator::LoadGenerator(LoadSpec spec, UpstreamClient &client, const Clock &clock)
+    : m_spec(std::move(spec))
+    , m_client(client)
+    , m_clock(clock)
+    , m_plan(makeLoadPlan(m_spec))
+    , m_outcomes(m_plan.size())
+    , m_ready(m_spec.nodes.size(), true)
+    , m_avoidUntil(m_spec.nodes.size())
+{}
+
+LoadGenerator::~LoadGenerator() = default;
+
+std::vector<LoadOutcome> LoadGenerator::run(const std::function<void(Duration)> &onProgress)
+{
+    m_start = m_clock.now();
+    for (std::size_t i = 0; i < m_plan.size(); ++i) {
+        waitUntil(m_start + m_plan[i].at, onProgress);
+        send(i, 0);
+    }
+    waitUntil(m_start + m_spec.duration, onProgress);
+    waitForAll(onProgress);
+    const std::lock_guard lock(m_mutex);
+    return m_outcomes;
+}
+
+void LoadGenerator::waitUntil(TimePoint time, const std::function<void(Duration)> &onProgress)
+{
+    for (auto now = m_clock.now(); now < time; now = m_clock.now()) {
+        if (onProgress && now - m_start >= m_lastProgress + kProgressInterval) {
+            m_lastProgress = now - m_start;
+            onProgress(m_lastProgress);
+        }
+        std::this_thread::sleep_for(std::min<Duration>(time - now, kProgressInterval));
+    }
+}
+
+bool LoadGenerator::waitForAll(const std::function<void(Duration)> &onProgress)
+{
+    Duration patience = kEndSlack;
+    for (const auto &it : m_spec.classes)
+        patience = std::max(patience, it.timeout + kEndSlack);
+    const auto end = m_clock.now() + patience;
+    std::unique_lock lock(m_mutex);
+    while (m_ended < m_plan.size() && m_clock.now() < end) {
+        m_changed.wait_for(lock, kProgressInterval);
+        if (onProgress)
+            onProgress(m_clock.now() - m_start);
+    }
+    return m_ended == m_plan.size();
+}
+
+std::size_t LoadGenerator::pickNode(std::size_t preferred)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_clock.now();
+    for (std::size_t i = 0; i < m_ready.size(); ++i) {
+        const std::size_t node = (preferred + i) % m_ready.size();
+        if (m_ready[node] && m_avoidUntil[node] <= now)
+            return node;
+    }
+    return preferred;
+}
+
+void LoadGenerator::send(std::size_t index, int attempt)
+{
+    const auto &request = m_plan[index];
+    const auto node = pickNode(request.node + static_cast<std::size_t>(attempt));
+    auto call = std::make_shared<Call>(*this, index, node, attempt);
+    m_client.send(makeLoadCall(m_spec, request, m_spec.nodes[node % m_spec.nodes.size()]),
+                  std::move(call));
+}
+
+void LoadGenerator::retryElsewhere(std::size_t index, std::size_t node, int attempt)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_avoidUntil[node % m_avoidUntil.size()] = m_clock.now() + kAvoidNode;
+    }
+    if (attempt + 1 < static_cast<int>(m_spec.nodes.size())) {
+        send(index, attempt + 1);
+        return;
+    }
+    LoadOutcome outcome;
+    outcome.result = LoadResult::Refused;
+    outcome.reason = "connect_failed";
+    outcome.execution = "not_run";
+    ended(index, outcome);
+}
+
+void LoadGenerator::ended(std::size_t index, LoadOutcome outcome)
+{
+    judge(index, outcome);
+    const std::lock_guard lock(m_mutex);
+    m_outcomes[index] = std::move(outcome);
+    ++m_ended;
+    m_changed.notify_all();
+}
+
+void LoadGenerator::judge(std::size_t index, LoadOutcome &outcome) const
+{
+    const auto &loadClass = m_spec.classes[m_plan[index].loadClass];
+    if (outcome.result != LoadResult::Answered)
+        return;
+    if (!loadClass.application() && !loadClass.streamed) {
+        const auto tokens = static_cast<Duration::rep>(outcome.tokens);
+        outcome.inTime =
+                outcome.total <= loadClass.firstTokenTarget + loadClass.tokenTarget * tokens;
+        return;
+    }
+    const auto gaps = static_cast<Duration::rep>(outcome.tokens) - 1;
+    const bool tokensInTime =
+            gaps <= 0 || outcome.total - outcome.firstToken <= loadClass.tokenTarget * gaps;
+    outcome.inTime = outcome.firstToken <= loadClass.firstTokenTarget && tokensInTime;
+}
+
+void LoadGenerator::setNodeReady(std::size_t node, bool ready)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ready.at(node) = ready;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/load_generator/load_spec.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/** A class of requests that the load generator sends. */
+struct LoadClass
+{
+    /** Profile to ask for; also the name of the class in reports. */
+    std::string profile;
+    int tier = 0;
+    /** Model of a language request; empty for an application call. */
+    std::string model;
+    /** Route of an application call. */
+    std::string route;
+    double requestsPerSecond = 1;
+    /** Mean and spread (sigma of the logarithm) of the answer length in tokens. */
+    double meanTokens = 40;
+    double sigmaTokens = 0.5;
+    std::uint32_t maxTokens = 1024;
+    std::uint32_t promptTokens = 100;
+    /** Time that an application call takes. */
+    Duration work = milliseconds(20);
+    bool streamed = true;
+    /** Sends an idempotency key with each request. */
+    bool keyed = false;
+    Duration firstTokenTarget = seconds(1);
+    Duration tokenTarget = milliseconds(42);
+    Duration timeout = seconds(60);
+
+    bool application() const { return model.empty(); }
+};
+
+/** A workspace that sends requests. */
+struct LoadWorkspace
+{
+    std::string id;
+    std::string key;
+    /** Its part of the requests relative to the others. */
+    double share = 1;
+};
+
+/** A period in which classes send more or less. */
+struct LoadPeriod
+{
+    Duration from{0};
+    Duration to{0};
+    double factor = 1;
+    /** Profile that it concerns; empty means all. */
+    std::string profile;
+};
+
+/** A load: who sends what for how long. */
+struct LoadSpec
+{
+    /** Base addresses of the nodes' caller listeners. */
+    std::vector<std::string> nodes;
+    std::vector<LoadClass> classes;
+    std::vector<LoadWorkspace> workspaces;
+    std::vector<LoadPeriod> periods;
+    Duration duration = seconds(10);
+    std::uint64_t seed = 1;
+};
+
+/**
+ * Reads a load file.
+ *
+ * @param json `nodes`, `classes`, `workspaces`, `periods`, `duration_ms` and `seed`; the fields of
+ *             the members have the names above in snake_case, times with `_ms`.
+ * @throws std::invalid_argument with the fault in words.
+ */
+LoadSpec readLoadSpec(const std::string &json);
+
+} // namespace hawthornslip
