Read the scheduling policy from the settings

Change: node.scheduling_policy, checked against the name table. Conclusion: the baselines run in the same daemon.

--- a/core/settings.h
+++ b/core/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/scheduling_policy.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -88,6 +89,8 @@
     /** A shared configuration file that is applied when the store holds none. */
     std::string initialConfigFile;
     std::string logLevel = "info";
+    /** How groups that this node owns are scheduled; the baselines are for comparison only. */
+    SchedulingPolicy schedulingPolicy = SchedulingPolicy::Hawthornslip;
 };
 
 } // namespace hawthornslip
--- a/drivers/toml/settings_schema.cpp
+++ b/drivers/toml/settings_schema.cpp
@@ -73,6 +73,18 @@
     return valueOf(kLogLevelNames, text) ? "" : "must be debug, info, warning or error";
 }
 
+Store policyKey()
+{
+    return [](const TomlValue &value, Settings &settings) -> std::string {
+        const auto *text = std::get_if<std::string>(&value.value);
+        const auto policy = text == nullptr ? std::nullopt : valueOf(kSchedulingPolicyNames, *text);
+        if (!policy)
+            return "must be hawthornslip, round_robin or least_in_flight";
+        settings.schedulingPolicy = *policy;
+        return {};
+    };
+}
+
 template <typename Access>
 Store addressKey(Access access)
 {
@@ -144,6 +156,7 @@
     keys.push_back({"node", "initial_config_file", false,
                     textKey(
                             [](Settings & s) -> auto & { return s.initialConfigFile; }, nonEmpty)});
+    keys.push_back({"node", "scheduling_policy", false, policyKey()});
 }
 
 void addCallerKeys(std::vector<SettingsKey> &keys)
