--- a/core/interfaces/http_server.h
+++ b/core/interfaces/http_server.h
@@ -50,7 +50,7 @@
      * Blocks until wake() was called, the client left or @p atMost has passed. A wake() before the
      * call counts. Only the thread that serves the request calls this.
      *
-     * @return false when the client left.
+     * @return false when the client left; later calls still block until wake() or the time.
      */
     virtual bool wait(Duration atMost) = 0;
 
@@ -124,8 +124,7 @@
 {
 public:
     /** Handles a request on its connection's thread; may block. */
-    using Handler =
-            std::function<HttpAnswer(const HttpRequest &, const std::shared_ptr<HttpClientLink> &)>;
+    using Handler = std::function<HttpAnswer(HttpRequest, const std::shared_ptr<HttpClientLink> &)>;
     /** Gives the answer to a request that no route sees. */
     using RejectionHandler = std::function<HttpAnswer(HttpRejection, const HttpRequest &)>;
 
--- a/core/reasons.h
+++ b/core/reasons.h
@@ -49,6 +49,7 @@
     CallerGone,
     NotReady,
     Draining,
+    UnknownKey,
     Internal,
 };
 
@@ -60,7 +61,7 @@
     int httpStatus;
 };
 
-inline constexpr std::array<ReasonInfo, 31> kReasons = {{
+inline constexpr std::array<ReasonInfo, 32> kReasons = {{
         {Reason::None, "none", 200},
         {Reason::Unauthenticated, "unauthenticated", 401},
         {Reason::UnknownRoute, "unknown_route", 404},
@@ -91,6 +92,7 @@
         {Reason::CallerGone, "caller_gone", 499},
         {Reason::NotReady, "not_ready", 503},
         {Reason::Draining, "draining", 503},
+        {Reason::UnknownKey, "unknown_key", 404},
         {Reason::Internal, "internal", 500},
 }};
 
--- /dev/null
+++ b/drivers/http/curl_transfer.cpp
@@ -0,0 +1,197 @@
+#include "drivers/http/curl_transfer.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace hawthornslip {
+
+namespace {
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && std::isspace(static_cast<unsigned char>(text.front())) != 0)
+        text.remove_prefix(1);
+    while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0)
+        text.remove_suffix(1);
+    return text;
+}
+
+int statusOf(std::string_view statusLine)
+{
+    int status = 0;
+    const auto space = statusLine.find(' ');
+    if (space != std::string_view::npos)
+        std::from_chars(statusLine.data() + space + 1, statusLine.data() + statusLine.size(),
+                        status);
+    return status;
+}
+
+} // namespace
+
+CurlTransfer::CurlTransfer(UpstreamRequest request, std::shared_ptr<UpstreamHandler> handler)
+    : m_request(std::move(request))
+    , m_handler(std::move(handler))
+    , m_start(std::chrono::steady_clock::now())
+    , m_lastActivity(m_start)
+{}
+
+CurlTransfer::~CurlTransfer()
+{
+    if (m_easy != nullptr)
+        curl_easy_cleanup(m_easy);
+    curl_slist_free_all(m_headerList);
+}
+
+void *CurlTransfer::prepare()
+{
+    m_easy = curl_easy_init();
+    curl_easy_setopt(m_easy, CURLOPT_URL, m_request.url.c_str());
+    curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    // No proxy from the environment may come between the router and an upstream.
+    curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(m_easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, toMillis(m_request.connectTimeout));
+    curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+    if (m_request.method == "HEAD")
+        curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
+    if (!m_request.body.empty() || m_request.method == "POST" || m_request.method == "PUT") {
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(m_request.body.size()));
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.c_str());
+    }
+    if (m_request.sendOnce) {
+        // libcurl repeats a request whose kept-alive connection closed without an answer, but
+        // never on a connection of its own.
+        curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    // Waiting for "100 Continue" would delay large requests, and a default content type would
+    // change calls to applications.
+    m_headerList = curl_slist_append(m_headerList, "Expect:");
+    m_headerList = curl_slist_append(m_headerList, "Accept:");
+    const bool typed = std::any_of(m_request.headers.begin(), m_request.headers.end(),
+                                   [](const auto &it) { return it.first == "content-type"; });
+    if (!typed)
+        m_headerList = curl_slist_append(m_headerList, "Content-Type:");
+    for (const auto &[name, value] : m_request.headers) {
+        // libcurl removes a header that has no value unless it is written with a semicolon.
+        const std::string line = value.empty() ? name + ';' : name + ": " + value;
+        m_headerList = curl_slist_append(m_headerList, line.c_str());
+    }
+    curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headerList);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::onHeader);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &CurlTransfer::onBody);
+    curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
+    return m_easy;
+}
+
+void CurlTransfer::unpause()
+{
+    if (!m_paused)
+        return;
+    m_paused = false;
+    m_lastActivity = std::chrono::steady_clock::now();
+    curl_easy_pause(m_easy, CURLPAUSE_CONT);
+}
+
+std::optional<UpstreamResult> CurlTransfer::expired(SteadyTime now) const
+{
+    if (now >= m_start + m_request.totalTimeout)
+        return UpstreamResult::TotalTimeout;
+    if (!m_firstByte && m_request.firstByteTimeout.count() > 0 &&
+        now >= m_start + m_request.firstByteTimeout)
+        return UpstreamResult::FirstByteTimeout;
+    if (m_firstByte && !m_paused && m_request.idleTimeout.count() > 0 &&
+        now >= m_lastActivity + m_request.idleTimeout)
+        return UpstreamResult::IdleTimeout;
+    return std::nullopt;
+}
+
+CurlTransfer::SteadyTime CurlTransfer::nextExpiry() const
+{
+    SteadyTime next = m_start + m_request.totalTimeout;
+    if (!m_firstByte && m_request.firstByteTimeout.count() > 0)
+        next = std::min<SteadyTime>(next, m_start + m_request.firstByteTimeout);
+    // Also armed before the first byte and while paused: expired() decides when it is due.
+    if (m_request.idleTimeout.count() > 0) {
+        const auto from =
+                m_firstByte && !m_paused ? m_lastActivity : std::chrono::steady_clock::now();
+        next = std::min<SteadyTime>(next, from + m_request.idleTimeout);
+    }
+    return next;
+}
+
+void CurlTransfer::end(const UpstreamEnd &end)
+{
+    const auto handler = std::move(m_handler);
+    if (handler)
+        handler->onEnd(end);
+}
+
+bool CurlTransfer::nothingSent() const
+{
+    // libcurl adds to the request size as soon as the first byte was handed to the socket.
+    long requestBytes = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    return requestBytes == 0;
+}
+
+UpstreamResult CurlTransfer::resultOf(int code) const
+{
+    if (code == CURLE_OK)
+        return UpstreamResult::Complete;
+    return nothingSent() ? UpstreamResult::ConnectFailed : UpstreamResult::Broken;
+}
+
+std::size_t CurlTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto &transfer = *static_cast<CurlTransfer *>(self);
+    transfer.m_lastActivity = std::chrono::steady_clock::now();
+    transfer.headerLine(std::string_view(data, size * count));
+    return size * count;
+}
+
+void CurlTransfer::headerLine(std::string_view line)
+{
+    constexpr int kFirstFinalStatus = 200;
+    if (m_headersDone)
+        return; // a trailer
+    if (line.starts_with("HTTP/")) {
+        m_headers.clear();
+        m_status = statusOf(line);
+        return;
+    }
+    line = trimmed(line);
+    if (line.empty()) {
+        if (m_status < kFirstFinalStatus)
+            return;
+        m_headersDone = true;
+        m_handler->onHeaders(m_status, m_headers);
+        return;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return;
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
+    m_headers.emplace_back(std::move(name), std::string(trimmed(line.substr(colon + 1))));
+}
+
+std::size_t CurlTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto &transfer = *static_cast<CurlTransfer *>(self);
+    transfer.m_firstByte = true;
+    transfer.m_lastActivity = std::chrono::steady_clock::now();
+    if (transfer.m_handler->onData(std::string_view(data, size * count)))
+        return size * count;
+    transfer.m_paused = true;
+    return CURL_WRITEFUNC_PAUSE;
+}
+
+} // namespace hawthornslip
