--- /dev/null
+++ b/servers/request_path/account_filter.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "servers/request_path/filter_chain.h"
+#include "servers/request_path/path_services.h"
+
+namespace hawthornslip {
+
+/** Writes metrics and the access log. */
+class AccountFilter : public Filter
+{
+public:
+    explicit AccountFilter(const PathServices &services)
+        : m_services(services)
+    {}
+
+    std::string_view name() const override { return "account"; }
+    boost::leaf::result<void> process(RequestContext &context) override;
+    void finish(RequestContext &context) override;
+
+private:
+    const PathServices &m_services;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/admit_filter.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "servers/request_path/filter_chain.h"
+#include "servers/request_path/path_services.h"
+
+namespace hawthornslip {
+
+/** Waits for a grant from the owner of the group. */
+class AdmitFilter : public Filter
+{
+public:
+    explicit AdmitFilter(const PathServices &services)
+        : m_services(services)
+    {}
+
+    std::string_view name() const override { return "admit"; }
+    boost::leaf::result<void> process(RequestContext &context) override;
+
+private:
+    const PathServices &m_services;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/attempt_verdict.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/interfaces/http_server.h"
+#include "core/interfaces/upstream_client.h"
+#include "servers/admission/admission_gateway.h"
+#include "servers/request_path/request_error.h"
+
+#include <optional>
+
+namespace hawthornslip {
+
+/** What a failed attempt means for its request. */
+struct AttemptVerdict
+{
+    RequestError error;
+    AttemptResult result = AttemptResult::Failed;
+    /** The repeat costs no upstream work and so takes nothing from the retry budget. */
+    bool freeRepeat = false;
+};
+
+/** @return the verdict on a call that ended as @p end tells, which is not Complete. */
+AttemptVerdict verdictOf(const UpstreamEnd &end);
+
+/** @return the verdict on an answer of another request. */
+AttemptVerdict mismatchVerdict();
+
+/** @return the verdict on a stream that ended before its last token. */
+AttemptVerdict truncatedVerdict();
+
+/**
+ * @return the verdict on a whole answer whose status tells of a failure: NotRun when the upstream
+ *         says so, MayHaveRun for other statuses from 500; nothing for an answer to relay.
+ */
+std::optional<AttemptVerdict> verdictOf(int status, const HttpHeaders &headers);
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/event_scanner.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace hawthornslip {
+
+/** What the relay needs to know about a stream event or a JSON answer. */
+struct EventFacts
+{
+    /** The text is one balanced JSON object. */
+    bool valid = false;
+    /** Raw text of the top-level `id`. */
+    std::string_view id;
+    /** A choice carries generated text. */
+    bool hasToken = false;
+    /** A choice has a finish reason. */
+    bool finished = false;
+    /** `usage.completion_tokens`. */
+    std::optional<std::uint32_t> completionTokens;
+};
+
+/** Reads the facts from @p json in one pass without building a document. */
+EventFacts scanEvent(std::string_view json);
+
+} // namespace hawthornslip
--- a/servers/request_path/filter_chain.cpp
+++ b/servers/request_path/filter_chain.cpp
@@ -9,17 +9,19 @@
     m_filters.push_back(std::move(filter));
 }
 
-boost::leaf::result<void> FilterChain::run(RequestContext &context) const
+boost::leaf::result<void> FilterChain::process(RequestContext &context) const
 {
-    boost::leaf::result<void> result;
-    std::size_t entered = 0;
-    while (entered < m_filters.size() && result) {
-        result = m_filters[entered]->process(context);
-        ++entered;
+    for (const auto &it : m_filters) {
+        if (auto result = it->process(context); !result)
+            return result;
     }
-    while (entered > 0)
-        m_filters[--entered]->finish(context);
-    return result;
+    return {};
+}
+
+void FilterChain::finish(RequestContext &context) const
+{
+    for (auto it = m_filters.rbegin(); it != m_filters.rend(); ++it)
+        (*it)->finish(context);
 }
 
 } // namespace hawthornslip
--- a/servers/request_path/filter_chain.h
+++ b/servers/request_path/filter_chain.h
@@ -24,7 +24,10 @@
     /** Handles @p context; an error (a RequestError) ends the request. */
     virtual boost::leaf::result<void> process(RequestContext &context) = 0;
 
-    /** Called in reverse order once the request has ended, for each filter that was entered. */
+    /**
+     * Called in reverse order once the answer was sent or the caller left. It is called for every
+     * filter, also for those that were not reached, so that refusals are accounted as well.
+     */
     virtual void finish(RequestContext & /*context*/) {}
 };
 
@@ -36,11 +39,14 @@
     void add(std::unique_ptr<Filter> filter);
 
     /**
-     * Runs the filters until one fails, then finishes those that were entered.
+     * Runs the filters until one fails.
      *
      * @return nothing, or the RequestError of the filter that failed.
      */
-    boost::leaf::result<void> run(RequestContext &context) const;
+    boost::leaf::result<void> process(RequestContext &context) const;
+
+    /** Ends the request in all filters; required once after process(). */
+    void finish(RequestContext &context) const;
 
 private:
     std::vector<std::unique_ptr<Filter>> m_filters;
--- /dev/null
+++ b/servers/request_path/relay_filter.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "servers/request_path/filter_chain.h"
+
+namespace hawthornslip {
+
+/** Waits for the answer, with retries and hedges, and prepares it for the caller. */
+class RelayFilter : public Filter
+{
+public:
+    std::string_view name() const override { return "relay"; }
+    boost::leaf::result<void> process(RequestContext &context) override;
+    void finish(RequestContext &context) override;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/request_run.cpp
@@ -0,0 +1,317 @@
+#include "servers/request_path/request_run.h"
+
+#include "core/metric_names.h"
+#include "servers/request_path/error_answer.h"
+#include "servers/request_path/event_scanner.h"
+#include "servers/request_path/upstream_message.h"
+
+#include <boost/leaf/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace hawthornslip {
+
+namespace {
+
+RequestError plainError(Reason reason, std::string message)
+{
+    return {reason, Execution::NotRun, std::move(message), Duration(0)};
+}
+
+} // namespace
+
+RequestRun::RequestRun(RequestContext &context, const PathServices &services)
+    : m_context(context)
+    , m_services(services)
+{
+    if (context.ticket)
+        m_output.recordUpTo(services.settings.maxStoredAnswerBytes);
+}
+
+RequestRun::~RequestRun()
+{
+    stopAll(AttemptResult::Cancelled);
+}
+
+leaf::result<void> RequestRun::admit()
+{
+    const auto asked = m_services.clock.now();
+    ask();
+    while (true) {
+        step();
+        if (m_done)
+            return failure();
+        if (m_attempts.front()->phase() == Attempt::Phase::Granted)
+            break;
+        waitForNews(untilNextTimer());
+    }
+    m_context.figures.queueWait = m_services.clock.now() - asked;
+    return {};
+}
+
+leaf::result<void> RequestRun::select()
+{
+    while (!m_done) {
+        const auto attempt = m_attempts.front();
+        if (attempt->phase() == Attempt::Phase::Granted) {
+            if (!urlOf(*attempt).empty())
+                return {};
+            giveBackUnknown(attempt);
+            continue;
+        }
+        step();
+        if (!m_done && m_attempts.front()->phase() != Attempt::Phase::Granted)
+            waitForNews(untilNextTimer());
+    }
+    return failure();
+}
+
+leaf::result<void> RequestRun::send()
+{
+    m_sendOnGrant = true;
+    sendAttempt(m_attempts.front());
+    return {};
+}
+
+leaf::result<void> RequestRun::awaitAnswer()
+{
+    while (true) {
+        step();
+        if (m_context.streaming)
+            return {};
+        if (m_done)
+            return m_failure ? failure() : leaf::result<void>();
+        waitForNews(untilNextTimer());
+    }
+}
+
+HttpBodyRead RequestRun::read(char *room, std::size_t size)
+{
+    const bool comments = m_context.route == RouteKind::Language;
+    while (m_output.empty()) {
+        if (m_done)
+            return {m_broken ? HttpBodyRead::State::Broken : HttpBodyRead::State::End, 0};
+        step();
+        if (m_done || !m_output.empty())
+            continue;
+        auto wait = untilNextTimer();
+        if (comments) {
+            const auto now = m_services.clock.now();
+            const auto left = m_lastOutput + m_services.settings.commentInterval - now;
+            if (left.count() <= 0) {
+                m_output.appendAside(": waiting\n\n");
+                m_lastOutput = now;
+                break;
+            }
+            wait = std::min(wait, left);
+        }
+        waitForNews(wait);
+    }
+    return {HttpBodyRead::State::More, m_output.take(room, size)};
+}
+
+void RequestRun::finish()
+{
+    m_callerGone = true;
+    while (!m_done && runsWithoutCaller()) {
+        step();
+        m_output.drop();
+        if (!m_done)
+            waitForNews(untilNextTimer());
+    }
+    if (!m_done)
+        callerLeft();
+}
+
+void RequestRun::waitForNews(Duration atMost)
+{
+    if (m_context.client->wait(atMost) || m_callerGone)
+        return;
+    m_callerGone = true;
+    if (!runsWithoutCaller())
+        callerLeft();
+}
+
+void RequestRun::callerLeft()
+{
+    fail(plainError(Reason::CallerGone, "the caller left"));
+    m_broken = true;
+}
+
+// Keyed requests that may not be repeated run to their end, so that the outcome becomes known.
+bool RequestRun::runsWithoutCaller() const
+{
+    return m_context.ticket && (m_mayHaveRun || anySent());
+}
+
+Duration RequestRun::untilNextTimer() const
+{
+    auto next = m_context.deadline;
+    if (m_hedgeDelay && m_attempts.size() == 1)
+        next = std::min(next, m_attempts.front()->sentAt() + *m_hedgeDelay);
+    return std::max(next - m_services.clock.now(), Duration(0));
+}
+
+leaf::result<void> RequestRun::failure() const
+{
+    return leaf::new_error(m_failure.value_or(RequestError{}));
+}
+
+void RequestRun::step()
+{
+    const auto attempts = m_attempts;
+    for (const auto &it : attempts) {
+        if (!m_done && isLive(it))
+            advance(it);
+    }
+    if (!m_done && m_services.clock.now() >= m_context.deadline)
+        fail(plainError(Reason::DeadlineExceeded, "the deadline passed"));
+    if (!m_done)
+        hedgeIfDue();
+}
+
+void RequestRun::advance(const AttemptRef &attempt)
+{
+    const auto news = attempt->takeNews();
+    if (news.admission) {
+        if (const auto *refusal = std::get_if<RequestError>(&*news.admission)) {
+            onRefusal(attempt, *refusal);
+            return;
+        }
+    }
+    if (attempt->phase() == Attempt::Phase::Granted && m_sendOnGrant) {
+        if (urlOf(*attempt).empty())
+            giveBackUnknown(attempt);
+        else
+            sendAttempt(attempt);
+    }
+    if (attempt->phase() != Attempt::Phase::Sent ||
+        (attempt->status() != 0 && !checkHeaderId(attempt)))
+        return;
+    if (!news.data.empty()) {
+        if (isEventStream(*attempt))
+            onStreamData(attempt, news.data);
+        else
+            onWholeData(attempt, news.data);
+    }
+    if (m_done || !isLive(attempt))
+        return;
+    if (news.end)
+        onEnd(attempt, *news.end);
+    else if (attempt->progress.preempted)
+        onPreempt(attempt);
+}
+
+void RequestRun::onRefusal(const AttemptRef &attempt, const RequestError &refusal)
+{
+    remove(attempt);
+    if (attempt == m_hedge)
+        countHedge("refused");
+    // The first cause says more than the refusal of a repeat.
+    if (m_attempts.empty())
+        fail(m_lastFailure.value_or(refusal));
+}
+
+void RequestRun::onEnd(const AttemptRef &attempt, const UpstreamEnd &end)
+{
+    if (end.result != UpstreamResult::Complete)
+        attemptFailed(attempt, verdictOf(end));
+    else if (isEventStream(*attempt))
+        attemptFailed(attempt, truncatedVerdict());
+    else
+        onWholeAnswer(attempt);
+}
+
+void RequestRun::onPreempt(const AttemptRef &attempt)
+{
+    if (!idempotent() || (started() && !mayResume()))
+        return;
+    m_services.metrics.count(metric::kPreemptions, {{"profile", m_context.profile->name.value}});
+    remove(attempt);
+    m_mayHaveRun = true;
+    attempt->stop(AttemptResult::Preempted);
+    if (m_attempts.empty())
+        ask();
+}
+
+void RequestRun::onStreamData(const AttemptRef &attempt, const std::string &data)
+{
+    auto &progress = attempt->progress;
+    const auto part = progress.reader.read(data, mayResume());
+    countMismatches(part.mismatches);
+    if (part.started || part.done) {
+        relayFrom(attempt);
+        startStream(attempt);
+    }
+    m_output.append(part.text);
+    if (!part.text.empty())
+        m_lastOutput = m_services.clock.now();
+    progress.tokens += part.tokens;
+    m_context.figures.tokens += part.tokens;
+    if (part.tokens > 0)
+        attempt->reportProgress(m_services.settings.progressInterval);
+    if (part.done)
+        succeed(attempt);
+    else if (part.broken)
+        attemptFailed(attempt, part.mismatches > 0 ? mismatchVerdict() : truncatedVerdict());
+}
+
+void RequestRun::onWholeData(const AttemptRef &attempt, const std::string &data)
+{
+    auto &progress = attempt->progress;
+    if (progress.relayed) {
+        m_output.append(data);
+        return;
+    }
+    progress.pending += data;
+    if (m_context.route == RouteKind::Application &&
+        progress.pending.size() >= m_services.settings.relayBufferBytes) {
+        relayFrom(attempt);
+        startStream(attempt);
+        m_output.append(std::exchange(progress.pending, {}));
+    } else if (progress.pending.size() > m_services.settings.maxAnswerBytes) {
+        auto verdict = truncatedVerdict();
+        verdict.error.message = "the answer is larger than the router accepts";
+        attemptFailed(attempt, verdict);
+    }
+}
+
+void RequestRun::onWholeAnswer(const AttemptRef &attempt)
+{
+    if (attempt->progress.relayed) {
+        succeed(attempt);
+        return;
+    }
+    const bool language = m_context.route == RouteKind::Language;
+    if (const auto verdict = verdictOf(attempt->status(), attempt->headers())) {
+        // The error answer of an application is its own business; it is relayed when no repeat
+        // would be allowed.
+        const bool refused = verdict->error.execution == Execution::NotRun;
+        if (language || refused || (idempotent() && m_retries < m_services.settings.maxRetries)) {
+            attemptFailed(attempt, *verdict);
+            return;
+        }
+    }
+    auto &body = attempt->progress.pending;
+    if (language) {
+        const auto facts = scanEvent(body);
+        if (!facts.id.empty() && facts.id != m_context.id.value) {
+            countMismatches(1);
+            attemptFailed(attempt, mismatchVerdict());
+            return;
+        }
+        attempt->progress.tokens = facts.completionTokens.value_or(0);
+        m_context.figures.tokens = attempt->progress.tokens;
+    }
+    relayFrom(attempt);
+    m_context.answer.status = attempt->status();
+    m_context.answer.headers = callerHeaders(m_context, attempt->headers());
+    m_context.answer.body = std::move(body);
+    m_context.figures.bytes = m_context.answer.body.size();
+    succeed(attempt);
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/request_run.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "servers/request_path/answer_output.h"
+#include "servers/request_path/attempt.h"
+#include "servers/request_path/attempt_verdict.h"
+#include "servers/request_path/path_services.h"
+#include "servers/request_path/request_context.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * The attempts of one request: the first one, and retries, hedges and resumed streams. The thread
+ * of the request drives it by waiting for news and looking at each attempt.
+ */
+class RequestRun
+{
+public:
+    RequestRun(RequestContext &context, const PathServices &services);
+    /** Cancels what is in progress. */
+    ~RequestRun();
+
+    RequestRun(const RequestRun &) = delete;
+    RequestRun &operator=(const RequestRun &) = delete;
+
+    /** Asks for the first grant and waits for it. */
+    boost::leaf::result<void> admit();
+
+    /** Looks up the granted upstream; asks again when the configuration does not name it. */
+    boost::leaf::result<void> select();
+
+    /** Sends the first attempt. */
+    boost::leaf::result<void> send();
+
+    /** Waits for the whole answer, or the first token of a stream. */
+    boost::leaf::result<void> awaitAnswer();
+
+    /** Gives the next piece of the streamed answer. */
+    HttpBodyRead read(char *room, std::size_t size);
+
+    /**
+     * Ends the request after its caller left. A keyed request that was sent goes on until its
+     * outcome is known, so that the caller can ask for it.
+     */
+    void finish();
+
+    /** @return the whole streamed answer for a repeated key, or nothing when it is too large. */
+    const std::string &recorded() const { return m_output.recorded(); }
+
+private:
+    using AttemptRef = std::shared_ptr<Attempt>;
+
+    void step();
+    void advance(const AttemptRef &attempt);
+    void onRefusal(const AttemptRef &attempt, const RequestError &refusal);
+    void onEnd(const AttemptRef &attempt, const UpstreamEnd &end);
+    void onPreempt(const AttemptRef &attempt);
+    void onStreamData(const AttemptRef &attempt, const std::string &data);
+    void onWholeData(const AttemptRef &attempt, const std::string &data);
+    void onWholeAnswer(const AttemptRef &attempt);
+
+    void ask();
+    std::string urlOf(const Attempt &attempt) const;
+    void giveBackUnknown(const AttemptRef &attempt);
+    void sendAttempt(const AttemptRef &attempt);
+    bool checkHeaderId(const AttemptRef &attempt);
+    void countMismatches(std::uint32_t n);
+    void relayFrom(const AttemptRef &attempt);
+    void startStream(const AttemptRef &attempt);
+    void attemptFailed(const AttemptRef &attempt, const AttemptVerdict &verdict);
+    bool mayRepeat(const AttemptVerdict &verdict);
+    bool mayResume() const;
+    bool started() const;
+    void succeed(const AttemptRef &attempt);
+    void fail(RequestError error);
+    void callerLeft();
+    void stopAll(AttemptResult result);
+    void remove(const AttemptRef &attempt);
+    bool isLive(const AttemptRef &attempt) const;
+    bool anySent() const;
+    bool runsWithoutCaller() const;
+    void hedgeIfDue();
+    void countHedge(std::string_view result);
+    bool isEventStream(const Attempt &attempt) const;
+    bool idempotent() const { return m_context.profile->idempotent; }
+    void waitForNews(Duration atMost);
+    Duration untilNextTimer() const;
+    boost::leaf::result<void> failure() const;
+
+    RequestContext &m_context;
+    const PathServices &m_services;
+    std::vector<AttemptRef> m_attempts;
+    std::vector<UpstreamId> m_excluded;
+    std::optional<RequestError> m_lastFailure;
+    std::optional<RequestError> m_failure;
+    std::uint32_t m_retries = 0;
+    std::optional<Duration> m_hedgeDelay;
+    AttemptRef m_hedge;
+    bool m_sendOnGrant = false;
+    /** An attempt that has ended may have run. */
+    bool m_mayHaveRun = false;
+    bool m_done = false;
+    bool m_broken = false;
+    bool m_callerGone = false;
+    TimePoint m_lastOutput{};
+    AnswerOutput m_output;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/request_run_attempts.cpp
@@ -0,0 +1,262 @@
+// The part of RequestRun that starts, repeats and ends attempts.
+#include "core/logger.h"
+#include "core/metric_names.h"
+#include "servers/request_path/error_answer.h"
+#include "servers/request_path/request_run.h"
+#include "servers/request_path/upstream_message.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+void RequestRun::ask()
+{
+    const auto now = m_services.clock.now();
+    AdmissionAsk ask;
+    ask.request = m_context.id;
+    ask.model = m_context.model;
+    ask.workspace = m_context.workspace->id;
+    ask.profile = *m_context.profile;
+    ask.attempt = m_context.figures.attempts++;
+    ask.waited = now - m_context.acceptedAt;
+    ask.remaining = std::max(m_context.deadline - now, Duration(0));
+    ask.promptTokens = m_context.promptTokens;
+    ask.tokensDone = m_context.figures.tokens;
+    ask.prefixHash = m_context.prefixHash;
+    ask.excluded = m_excluded;
+    auto attempt =
+            std::make_shared<Attempt>(m_services.admission, m_services.clock, m_context.client,
+                                      m_services.settings.relayBufferBytes);
+    m_attempts.push_back(attempt);
+    attempt->ask(std::move(ask));
+}
+
+// Read from the configuration in force: the owner may know a newer one than the request began with.
+std::string RequestRun::urlOf(const Attempt &attempt) const
+{
+    const auto config = m_services.config.current();
+    const auto *upstream = config->findUpstream(attempt.progress.grant.upstream);
+    return upstream == nullptr ? std::string() : upstream->url;
+}
+
+void RequestRun::giveBackUnknown(const AttemptRef &attempt)
+{
+    AttemptVerdict verdict;
+    verdict.error = {Reason::NoUpstream, Execution::NotRun,
+                     "the granted upstream is not in the configuration", seconds(1)};
+    verdict.result = AttemptResult::Unused;
+    verdict.freeRepeat = true;
+    attemptFailed(attempt, verdict);
+}
+
+void RequestRun::sendAttempt(const AttemptRef &attempt)
+{
+    const auto remaining = std::max(m_context.deadline - m_services.clock.now(), milliseconds(1));
+    m_hedgeDelay.reset();
+    if (idempotent() && !started() && m_hedge == nullptr && m_attempts.size() == 1 &&
+        (m_context.stream || m_context.route == RouteKind::Application))
+        m_hedgeDelay = m_services.retries.hedgeDelay(*m_context.profile);
+    attempt->send(m_services.upstreams,
+                  buildUpstreamRequest(m_context, urlOf(*attempt), m_services.settings,
+                                       attempt->progress.tokensBefore, remaining));
+}
+
+// An answer without the id is accepted only when it is an error of a server in front of the engine.
+bool RequestRun::checkHeaderId(const AttemptRef &attempt)
+{
+    constexpr int kFirstNoSuccess = 300;
+    if (attempt->progress.idChecked)
+        return true;
+    attempt->progress.idChecked = true;
+    const auto *id = findHeader(attempt->headers(), "x-request-id");
+    if (id == nullptr ? attempt->status() >= kFirstNoSuccess : *id == m_context.id.value)
+        return true;
+    countMismatches(1);
+    attemptFailed(attempt, mismatchVerdict());
+    return false;
+}
+
+void RequestRun::countMismatches(std::uint32_t n)
+{
+    if (n == 0)
+        return;
+    m_services.metrics.count(metric::kMismatchedAnswers,
+                             {{"profile", m_context.profile->name.value}}, n);
+    logEvent(LogLevel::Warning, "answer_mismatch",
+             {{"request_id", m_context.id.value}, {"dropped", n}});
+}
+
+void RequestRun::relayFrom(const AttemptRef &attempt)
+{
+    auto &progress = attempt->progress;
+    if (progress.relayed)
+        return;
+    progress.relayed = true;
+    const auto now = m_services.clock.now();
+    progress.firstToken = std::max(now - attempt->sentAt(), Duration(1));
+    if (m_context.figures.firstToken.count() == 0)
+        m_context.figures.firstToken = now - m_context.acceptedAt;
+    m_hedgeDelay.reset();
+    const auto attempts = m_attempts;
+    for (const auto &it : attempts) {
+        if (it == attempt)
+            continue;
+        remove(it);
+        it->stop(AttemptResult::Cancelled);
+    }
+    if (m_hedge != nullptr)
+        countHedge(attempt == m_hedge ? "won" : "lost");
+}
+
+void RequestRun::startStream(const AttemptRef &attempt)
+{
+    if (m_context.streaming)
+        return;
+    m_context.streaming = true;
+    m_lastOutput = m_services.clock.now();
+    m_context.answer.status = attempt->status();
+    m_context.answer.headers = callerHeaders(m_context, attempt->headers());
+    if (m_context.route == RouteKind::Language)
+        m_context.answer.headers.emplace_back("Cache-Control", "no-cache");
+}
+
+void RequestRun::attemptFailed(const AttemptRef &attempt, const AttemptVerdict &verdict)
+{
+    const auto result = verdict.result;
+    const auto grant = attempt->progress.grant;
+    remove(attempt);
+    m_mayHaveRun = m_mayHaveRun || verdict.error.execution != Execution::NotRun;
+    m_lastFailure = verdict.error;
+    m_excluded.push_back(grant.upstream);
+    if (attempt == m_hedge)
+        countHedge("failed");
+    attempt->stop(result);
+    if (!m_attempts.empty())
+        return;
+    if (!mayRepeat(verdict)) {
+        fail(verdict.error);
+        return;
+    }
+    ++m_retries;
+    m_services.metrics.count(metric::kRetries, {{"profile", m_context.profile->name.value},
+                                                {"reason", nameOf(verdict.error.reason)}});
+    ask();
+}
+
+bool RequestRun::mayRepeat(const AttemptVerdict &verdict)
+{
+    if (m_retries >= m_services.settings.maxRetries ||
+        verdict.error.reason == Reason::DeadlineExceeded)
+        return false;
+    const bool certainlyNotRun = verdict.error.execution == Execution::NotRun && !m_mayHaveRun;
+    if (!certainlyNotRun && !idempotent())
+        return false;
+    if (started() && !mayResume())
+        return false;
+    return verdict.freeRepeat ||
+           m_services.retries.take(*m_context.profile, m_services.clock.now());
+}
+
+// Whether the answer has begun to go to the caller.
+bool RequestRun::started() const
+{
+    return m_context.streaming;
+}
+
+bool RequestRun::mayResume() const
+{
+    return idempotent() && m_context.profile->resumable && m_context.stream &&
+           m_context.route == RouteKind::Language;
+}
+
+void RequestRun::succeed(const AttemptRef &attempt)
+{
+    remove(attempt);
+    attempt->complete();
+    m_done = true;
+    m_context.answered = true;
+    // A server error tells that the upstream had the request, not how far it got.
+    constexpr int kFirstServerError = 500;
+    m_context.execution =
+            attempt->status() < kFirstServerError ? Execution::Ran : Execution::MayHaveRun;
+    m_services.retries.succeeded(*m_context.profile, attempt->progress.firstToken,
+                                 m_services.clock.now());
+}
+
+void RequestRun::fail(RequestError error)
+{
+    m_mayHaveRun = m_mayHaveRun || anySent();
+    stopAll(error.reason == Reason::DeadlineExceeded ? AttemptResult::TimedOut
+                                                     : AttemptResult::Cancelled);
+    error.execution = m_mayHaveRun ? Execution::MayHaveRun : Execution::NotRun;
+    m_context.execution = error.execution;
+    m_context.reason = error.reason;
+    m_context.figures.wastedTokens = m_context.figures.tokens;
+    m_done = true;
+    if (m_context.streaming) {
+        if (m_context.route == RouteKind::Language)
+            m_output.appendAside(errorEvent(error, m_context.id));
+        else
+            m_broken = true;
+    }
+    m_failure = std::move(error);
+}
+
+void RequestRun::stopAll(AttemptResult result)
+{
+    const auto attempts = std::exchange(m_attempts, {});
+    for (const auto &it : attempts)
+        it->stop(result);
+}
+
+void RequestRun::remove(const AttemptRef &attempt)
+{
+    m_attempts.erase(std::remove(m_attempts.begin(), m_attempts.end(), attempt), m_attempts.end());
+}
+
+bool RequestRun::isLive(const AttemptRef &attempt) const
+{
+    return std::find(m_attempts.begin(), m_attempts.end(), attempt) != m_attempts.end();
+}
+
+bool RequestRun::anySent() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+                       [](const AttemptRef &it) { return it->phase() == Attempt::Phase::Sent; });
+}
+
+bool RequestRun::isEventStream(const Attempt &attempt) const
+{
+    constexpr int kOk = 200;
+    if (m_context.route != RouteKind::Language || !m_context.stream || attempt.status() != kOk)
+        return false;
+    const auto *type = findHeader(attempt.headers(), "content-type");
+    return type != nullptr && type->starts_with("text/event-stream");
+}
+
+void RequestRun::hedgeIfDue()
+{
+    if (!m_hedgeDelay || m_attempts.size() != 1 ||
+        m_attempts.front()->phase() != Attempt::Phase::Sent ||
+        m_services.clock.now() < m_attempts.front()->sentAt() + *m_hedgeDelay)
+        return;
+    m_hedgeDelay.reset();
+    if (!m_services.retries.take(*m_context.profile, m_services.clock.now()))
+        return;
+    const auto excluded = m_excluded;
+    m_excluded.push_back(m_attempts.front()->progress.grant.upstream);
+    ask();
+    // Only the hedge avoids the first upstream, which has not failed.
+    m_excluded = excluded;
+    m_hedge = m_attempts.back();
+    countHedge("started");
+}
+
+void RequestRun::countHedge(std::string_view result)
+{
+    m_services.metrics.count(metric::kHedges,
+                             {{"profile", m_context.profile->name.value}, {"result", result}});
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/request_path/select_filter.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "servers/request_path/filter_chain.h"
+
+namespace hawthornslip {
+
+/** Resolves the upstream that the grant names. */
+class SelectFilter : public Filter
+{
+public:
+    std::string_view name() const override { return "select"; }
+    boost::leaf::result<void> process(RequestContext &context) override;
+};
+
+} // namespace hawthornslip
