--- /dev/null
+++ b/modules/config/config_adopter.cpp
@@ -0,0 +1,69 @@
+#include "modules/config/config_adopter.h"
+
+#include "modules/config/config_document.h"
+
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+using namespace config; // NOLINT(google-build-using-namespace)
+
+// A pull that brought nothing is repeated, at another peer when one is heard first.
+constexpr auto kPullInterval = milliseconds(300);
+// A peer may ask again after a lost answer, but not make this node send without bound.
+constexpr auto kPushInterval = milliseconds(200);
+
+} // namespace
+
+Actions ConfigAdopter::handle(const Event &event, TimePoint now)
+{
+    return std::visit([&](const auto &it) { return on(it, now); }, event);
+}
+
+Actions ConfigAdopter::on(const DocumentOffered &event, TimePoint)
+{
+    ParsedConfig parsed = ConfigDocument::parse(event.text);
+    const std::uint64_t generation = parsed.config.generation;
+    if (!parsed.ok()) {
+        if (generation <= m_generation || generation == m_refused)
+            return {};
+        m_refused = generation;
+        return {Refused{generation, std::move(parsed.faults)}};
+    }
+    if (generation <= m_generation)
+        return {};
+    m_generation = generation;
+    m_lastPush.clear();
+    Actions actions = {
+            Adopt{std::make_shared<const SharedConfig>(std::move(parsed.config)), event.text}};
+    if (event.acceptedHere)
+        actions.emplace_back(PushToAll{});
+    return actions;
+}
+
+Actions ConfigAdopter::on(const GenerationSeen &event, TimePoint now)
+{
+    if (event.generation <= m_generation || event.generation == m_refused)
+        return {};
+    const bool waiting = m_lastPull && now - *m_lastPull < kPullInterval;
+    if (waiting && event.generation <= m_pulledGeneration)
+        return {};
+    m_lastPull = now;
+    m_pulledGeneration = event.generation;
+    return {SendPull{event.node, m_generation}};
+}
+
+Actions ConfigAdopter::on(const PullReceived &event, TimePoint now)
+{
+    if (event.aboveGeneration >= m_generation)
+        return {};
+    const auto last = m_lastPush.find(event.node);
+    if (last != m_lastPush.end() && now - last->second < kPushInterval)
+        return {};
+    m_lastPush[event.node] = now;
+    return {SendPush{event.node}};
+}
+
+} // namespace hawthornslip
