--- /dev/null
+++ b/modules/lease/tests/lease_manager_test.cpp
@@ -0,0 +1,253 @@
+#include "modules/lease/lease_manager.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+
+namespace hawthornslip {
+
+namespace {
+
+// A few managers over one object, with time moved by hand.
+class LeaseBench
+{
+public:
+    LeaseManager &add(const std::string &name, std::uint64_t incarnation = 1)
+    {
+        managers.push_back(std::make_unique<LeaseManager>(NodeId(name), incarnation));
+        return *managers.back();
+    }
+
+    void run(std::size_t n, const LeaseActions &actions)
+    {
+        auto &manager = *managers[n];
+        for (const auto &it : actions) {
+            if (const auto *read = std::get_if<ReadLease>(&it)) {
+                ++calls;
+                const auto error = down           ? StoreError::Unavailable
+                                   : version == 0 ? StoreError::NotFound
+                                                  : StoreError::None;
+                run(n, manager.read(read->operation, error, record, version, now));
+            } else if (const auto *write = std::get_if<WriteLease>(&it)) {
+                ++calls;
+                if (hold)
+                    held.push_back(*write);
+                else
+                    commit(n, *write);
+            } else if (std::holds_alternative<LeaseLost>(it)) {
+                ++lost;
+            }
+        }
+    }
+
+    void commit(std::size_t n, const WriteLease &write)
+    {
+        auto error = StoreError::Unavailable;
+        if (!down && write.expectedVersion != version)
+            error = StoreError::Conflict;
+        else if (!down) {
+            record = write.record;
+            ++version;
+            error = loseAnswer ? StoreError::Unknown : StoreError::None;
+        }
+        loseAnswer = false;
+        run(n, managers[n]->written(write.operation, error, version, now));
+    }
+
+    // Moves on in small steps; managers whose index is in paused do not run.
+    void pass(Duration span, int paused = -1)
+    {
+        const auto end = now + span;
+        while (now < end) {
+            now += milliseconds(100);
+            for (std::size_t i = 0; i < managers.size(); ++i) {
+                if (static_cast<int>(i) != paused)
+                    run(i, managers[i]->wake(now));
+            }
+            int holders = 0;
+            for (const auto &it : managers)
+                holders += it->held(now) ? 1 : 0;
+            CPPUNIT_ASSERT(holders <= 1);
+        }
+    }
+
+    void want(std::size_t n, bool wanted = true) { run(n, managers[n]->setWanted(wanted, now)); }
+
+    std::vector<std::unique_ptr<LeaseManager>> managers;
+    TimePoint now{seconds(1000)};
+    LeaseRecord record;
+    std::uint64_t version = 0;
+    bool down = false;
+    bool loseAnswer = false;
+    bool hold = false;
+    std::vector<WriteLease> held;
+    int calls = 0;
+    int lost = 0;
+};
+
+} // namespace
+
+class LeaseManagerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeaseManagerTest);
+    CPPUNIT_TEST(oneHolderAtATime);
+    CPPUNIT_TEST(pausedHolderGivesNoOrder);
+    CPPUNIT_TEST(takerWaitsFullDuration);
+    CPPUNIT_TEST(slowWriteCountsFromItsStart);
+    CPPUNIT_TEST(lostAnswerIsReadBack);
+    CPPUNIT_TEST(outageEndsTheLease);
+    CPPUNIT_TEST(releaseHandsOver);
+    CPPUNIT_TEST(restartedHolderWaits);
+    CPPUNIT_TEST(callsStayFew);
+    CPPUNIT_TEST(recordSurvivesEncoding);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against two nodes that both order upstreams.
+    void oneHolderAtATime()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.add("b");
+        bench.want(0);
+        bench.want(1);
+        CPPUNIT_ASSERT(bench.managers[0]->held(bench.now));
+        bench.pass(seconds(60));
+        CPPUNIT_ASSERT(bench.managers[0]->held(bench.now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, bench.record.fencing);
+    }
+
+    // Guards against a process that wakes after its lease was taken and goes on to order.
+    void pausedHolderGivesNoOrder()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.add("b");
+        bench.want(0);
+        bench.want(1);
+        bench.pass(seconds(30), 0);
+        CPPUNIT_ASSERT(bench.managers[1]->held(bench.now));
+        CPPUNIT_ASSERT(!bench.managers[0]->held(bench.now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, bench.record.fencing);
+        bench.pass(seconds(30));
+        CPPUNIT_ASSERT(bench.managers[1]->held(bench.now));
+    }
+
+    // Guards against a taker that counts from an old renewal or from before it looked.
+    void takerWaitsFullDuration()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.add("b");
+        bench.want(0);
+        bench.pass(seconds(5));
+        const auto seen = bench.now;
+        bench.want(1);
+        bench.pass(seconds(9), 0);
+        CPPUNIT_ASSERT(!bench.managers[1]->held(bench.now));
+        while (!bench.managers[1]->held(bench.now))
+            bench.pass(milliseconds(100), 0);
+        CPPUNIT_ASSERT(bench.managers[1]->held(bench.now)->acquiredAt >= seen + seconds(10));
+    }
+
+    // Guards against a lease that is used beyond the end that others count.
+    void slowWriteCountsFromItsStart()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.hold = true;
+        bench.want(0);
+        const auto sent = bench.now;
+        bench.now += seconds(4);
+        bench.commit(0, bench.held.at(0));
+        CPPUNIT_ASSERT(bench.managers[0]->held(bench.now)->usableUntil == sent + seconds(9));
+    }
+
+    // Guards against a holder that waits for its own lease to lapse.
+    void lostAnswerIsReadBack()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.loseAnswer = true;
+        bench.want(0);
+        CPPUNIT_ASSERT(bench.managers[0]->held(bench.now));
+        bench.pass(seconds(2));
+        bench.loseAnswer = true;
+        bench.pass(seconds(10));
+        CPPUNIT_ASSERT(bench.managers[0]->held(bench.now));
+        CPPUNIT_ASSERT_EQUAL(0, bench.lost);
+    }
+
+    // Guards against orders during an outage of the store, and against a lease that never returns.
+    void outageEndsTheLease()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.want(0);
+        bench.down = true;
+        bench.pass(seconds(12));
+        CPPUNIT_ASSERT(!bench.managers[0]->held(bench.now));
+        CPPUNIT_ASSERT_EQUAL(1, bench.lost);
+        bench.down = false;
+        bench.pass(seconds(5));
+        CPPUNIT_ASSERT(bench.managers[0]->held(bench.now).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, bench.record.fencing);
+    }
+
+    // Guards against a planned stop that leaves the lease unused for its full duration.
+    void releaseHandsOver()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.add("b");
+        bench.want(0);
+        bench.want(1);
+        bench.pass(seconds(4));
+        bench.want(0, false);
+        CPPUNIT_ASSERT(!bench.managers[0]->held(bench.now));
+        bench.pass(seconds(4));
+        CPPUNIT_ASSERT(bench.managers[1]->held(bench.now));
+    }
+
+    // Guards against a restarted process that takes its earlier life's lease for its own.
+    void restartedHolderWaits()
+    {
+        LeaseBench bench;
+        bench.add("a", 1);
+        bench.want(0);
+        bench.add("a", 2);
+        bench.want(1);
+        bench.pass(seconds(9), 0);
+        CPPUNIT_ASSERT(!bench.managers[1]->held(bench.now));
+        bench.pass(seconds(5), 0);
+        CPPUNIT_ASSERT(bench.managers[1]->held(bench.now));
+    }
+
+    // Guards against a lease that costs more calls than its renewals and reads.
+    void callsStayFew()
+    {
+        LeaseBench bench;
+        bench.add("a");
+        bench.add("b");
+        bench.want(0);
+        bench.want(1);
+        bench.calls = 0;
+        bench.pass(seconds(60));
+        CPPUNIT_ASSERT(bench.calls >= 38 && bench.calls <= 42);
+    }
+
+    // Guards against a field that is lost on the way, and against values of another kind.
+    void recordSurvivesEncoding()
+    {
+        const LeaseRecord record{NodeId("n"), 5, 6, 7};
+        CPPUNIT_ASSERT(decodeLease(encodeLease(record)) == record);
+        for (const auto *it : {"", "[]", "{}", R"({"holder":1})",
+                               R"({"holder":"n","incarnation":-1,"fencing":1,"renewals":1})"})
+            CPPUNIT_ASSERT(!decodeLease(it));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseManagerTest);
+
+} // namespace hawthornslip
