Find groups, their owners and the group with the shortest wait

Cause: a node asks the owner of a group and spills to another failure domain when the own one is busy. Change: GroupDirectory caches groups and owners of one configuration; GroupChooser weighs the waits that owners send with their answers against the distance. A request is cancelled with all its queued attempts, as the message names only the request. A scheduler with a small share is that of a node that decides alone and may use one slot.

--- a/modules/admission/attempt_key_hash.h
+++ b/modules/admission/attempt_key_hash.h
@@ -4,17 +4,36 @@
 
 #include <cstddef>
 #include <functional>
+#include <string>
+#include <vector>
 
 namespace hawthornslip {
 
-/** Hashes attempt keys for unordered containers. */
+/**
+ * Hashes attempt keys for unordered containers by the request alone: all attempts of a request lie
+ * in one bucket, so that they can be found without their numbers.
+ */
 struct AttemptKeyHash
 {
     std::size_t operator()(const AttemptKey &key) const noexcept
     {
-        constexpr std::size_t kMultiplier = 0x9E3779B97F4A7C15ULL;
-        return std::hash<std::string>{}(key.request.value) ^ (key.attempt * kMultiplier);
+        return std::hash<std::string>{}(key.request.value);
     }
 };
 
+/** @return the keys of all attempts of @p request in @p container, which uses AttemptKeyHash. */
+template <typename Container>
+std::vector<AttemptKey> attemptsOf(const Container &container, const RequestId &request)
+{
+    std::vector<AttemptKey> keys;
+    if (container.empty())
+        return keys;
+    const std::size_t bucket = container.bucket({request, 0});
+    for (auto it = container.begin(bucket); it != container.end(bucket); ++it) {
+        if (it->first.request == request)
+            keys.push_back(it->first);
+    }
+    return keys;
+}
+
 } // namespace hawthornslip
--- a/modules/admission/fair_queue.cpp
+++ b/modules/admission/fair_queue.cpp
@@ -75,6 +75,12 @@
     return detach(flow, key);
 }
 
+void FairQueue::removeRequest(const RequestId &request)
+{
+    for (const auto &it : attemptsOf(m_items, request))
+        remove(it);
+}
+
 const QueuedAsk *FairQueue::head(std::size_t n) const
 {
     if (n >= m_active.size())
--- a/modules/admission/fair_queue.h
+++ b/modules/admission/fair_queue.h
@@ -47,6 +47,9 @@
     /** Removes an attempt without charging its workspace. */
     std::optional<QueuedAsk> remove(const AttemptKey &key);
 
+    /** Removes all attempts of @p request. */
+    void removeRequest(const RequestId &request);
+
     /** @return the first request of the @p n th workspace in turn, or nullptr when there are fewer.
      */
     const QueuedAsk *head(std::size_t n = 0) const;
--- a/modules/admission/fifo_scheduler.cpp
+++ b/modules/admission/fifo_scheduler.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Below this share the scheduler is that of a node that decides alone.
+constexpr double kLoneShare = 0.5;
 constexpr Duration kReportGrace = seconds(5);
 
 } // namespace
@@ -18,11 +20,20 @@
     , m_grants(options.grantPrefix)
 {}
 
+std::uint32_t &FifoScheduler::queuedCount(const AskEvent &ask)
+{
+    return m_queued[static_cast<std::size_t>(ask.profile->tier)];
+}
+
 std::uint32_t FifoScheduler::capacityOf(const Slots &slots) const
 {
     if (!slots.info.acceptsWork)
         return 0;
-    return std::max(1U, static_cast<std::uint32_t>(slots.info.maxConcurrency * m_share));
+    const auto share = static_cast<std::uint32_t>(slots.info.maxConcurrency * m_share);
+    // A node that decides alone may use one slot of the group even when its share is less.
+    if (m_share < kLoneShare)
+        return share > 0 || m_grants.size() > 0 ? share : 1;
+    return std::max(1U, share);
 }
 
 std::optional<std::size_t> FifoScheduler::pick()
@@ -48,7 +59,7 @@
 {
     SchedulerActions actions;
     if (const GrantRecord *held = m_grants.findAttempt(event.key)) {
-        actions.emplace_back(GrantAction{event.key, event.node, held->id, held->upstreamId});
+        actions.emplace_back(GrantAction{event.key, event.node, held->id, held->upstreamId, true});
         return actions;
     }
     if (m_places.count(event.key) > 0)
@@ -63,14 +74,16 @@
     }
     m_queue.push_back({event, now + event.remaining});
     m_places[event.key] = std::prev(m_queue.end());
+    ++queuedCount(event);
     dispatch(now, actions);
     return actions;
 }
 
-SchedulerActions FifoScheduler::onCancel(const AttemptKey &key, TimePoint /*now*/)
+SchedulerActions FifoScheduler::onCancel(const RequestId &request, TimePoint /*now*/)
 {
-    const auto it = m_places.find(key);
-    if (it != m_places.end()) {
+    for (const auto &key : attemptsOf(m_places, request)) {
+        const auto it = m_places.find(key);
+        --queuedCount(it->second->ask);
         m_queue.erase(it->second);
         m_places.erase(it);
     }
@@ -86,6 +99,7 @@
             return;
         const AskEvent ask = std::move(m_queue.front().ask);
         m_queue.pop_front();
+        --queuedCount(ask);
         m_places.erase(ask.key);
         if (late) {
             ++m_stats.refusals;
@@ -103,7 +117,7 @@
         const GrantRecord &stored = m_grants.add(std::move(record));
         ++m_upstreams[upstream].inFlight;
         ++m_stats.grants;
-        actions.emplace_back(GrantAction{ask.key, ask.node, stored.id, stored.upstreamId});
+        actions.emplace_back(GrantAction{ask.key, ask.node, stored.id, stored.upstreamId, false});
     }
 }
 
@@ -116,7 +130,8 @@
 SchedulerActions FifoScheduler::onRelease(const ReleaseEvent &event, TimePoint now)
 {
     SchedulerActions actions;
-    m_grants.markReleased(event.grant, now);
+    if (event.final)
+        m_grants.markReleased(event.grant, now);
     if (m_grants.find(event.grant) != nullptr)
         drop(event.grant);
     dispatch(now, actions);
@@ -187,8 +202,10 @@
         drop(it);
     for (auto it = m_queue.begin(); it != m_queue.end();) {
         const bool lost = it->ask.node == node;
-        if (lost)
+        if (lost) {
             m_places.erase(it->ask.key);
+            --queuedCount(it->ask);
+        }
         it = lost ? m_queue.erase(it) : std::next(it);
     }
     SchedulerActions actions;
@@ -216,7 +233,7 @@
 {
     GroupLoadInfo info;
     info.inFlight = static_cast<std::uint32_t>(m_grants.size());
-    info.queued = static_cast<std::uint32_t>(m_queue.size());
+    info.queued = m_queued;
     for (const auto &it : m_upstreams)
         info.limit += capacityOf(it);
     return info;
--- a/modules/admission/fifo_scheduler.h
+++ b/modules/admission/fifo_scheduler.h
@@ -5,6 +5,7 @@
 #include "modules/admission/group_scheduler.h"
 #include "modules/admission/scheduler_options.h"
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <optional>
@@ -24,7 +25,7 @@
     FifoScheduler(const SchedulerOptions &options, SchedulingPolicy policy);
 
     SchedulerActions onAsk(const AskEvent &event, TimePoint now) override;
-    SchedulerActions onCancel(const AttemptKey &key, TimePoint now) override;
+    SchedulerActions onCancel(const RequestId &request, TimePoint now) override;
     SchedulerActions onRelease(const ReleaseEvent &event, TimePoint now) override;
     SchedulerActions onProgress(const ProgressEvent &event, TimePoint now) override;
     SchedulerActions onGrantReport(const GrantReportEvent &event, TimePoint now) override;
@@ -51,6 +52,7 @@
     using Queue = std::list<Waiting>;
 
     std::uint32_t capacityOf(const Slots &slots) const;
+    std::uint32_t &queuedCount(const AskEvent &ask);
     std::optional<std::size_t> pick();
     std::size_t findOrAdd(const UpstreamId &id);
     void dispatch(TimePoint now, SchedulerActions &actions);
@@ -60,6 +62,7 @@
     SchedulingPolicy m_policy;
     GrantTable m_grants;
     Queue m_queue;
+    std::array<std::uint32_t, kTierCount> m_queued{};
     std::unordered_map<AttemptKey, Queue::iterator, AttemptKeyHash> m_places;
     std::vector<Slots> m_upstreams;
     double m_share = 1;
--- a/modules/admission/group_scheduler.h
+++ b/modules/admission/group_scheduler.h
@@ -18,8 +18,8 @@
     /** Takes an attempt that wants a slot; a repeat of a queued or granted one changes nothing. */
     virtual SchedulerActions onAsk(const AskEvent &event, TimePoint now) = 0;
 
-    /** Drops a queued attempt whose caller left. */
-    virtual SchedulerActions onCancel(const AttemptKey &key, TimePoint now) = 0;
+    /** Drops the queued attempts of a request whose caller left. */
+    virtual SchedulerActions onCancel(const RequestId &request, TimePoint now) = 0;
 
     /** Frees the slot of a grant; an unknown grant is ignored. */
     virtual SchedulerActions onRelease(const ReleaseEvent &event, TimePoint now) = 0;
--- a/modules/admission/scheduler_events.h
+++ b/modules/admission/scheduler_events.h
@@ -66,6 +66,9 @@
     Duration firstToken{0};
     /** From sending to the end. */
     Duration duration{0};
+    /** False when the holder may still turn out to use the grant, as it was only never
+     * acknowledged. */
+    bool final = true;
 };
 
 /** A granted attempt that still runs. */
@@ -124,6 +127,8 @@
     NodeId node;
     GrantId grant;
     UpstreamId upstream;
+    /** The attempt had this grant already. */
+    bool repeated = false;
 };
 
 /** The attempt gets no slot; it was not run. */
@@ -151,7 +156,8 @@
 {
     std::uint32_t inFlight = 0;
     std::uint32_t limit = 0;
-    std::uint32_t queued = 0;
+    /** Queued requests of each tier. */
+    std::array<std::uint32_t, kTierCount> queued{};
     /** Expected wait of a new request for each tier. */
     std::array<Duration, kTierCount> waits{};
 };
--- a/modules/admission/tests/tiered_scheduler_test.cpp
+++ b/modules/admission/tests/tiered_scheduler_test.cpp
@@ -63,7 +63,7 @@
         granted(*scheduler, makeAsk("b", 1));
         scheduler->onAsk(makeAsk("c", 1), m_now);
         scheduler->onAsk(makeAsk("c", 1), m_now);
-        CPPUNIT_ASSERT_EQUAL(1U, scheduler->load(m_now).queued);
+        CPPUNIT_ASSERT_EQUAL(1U, scheduler->load(m_now).queued[1]);
     }
 
     // Guards against a tier-0 request that waits behind lower tiers.
--- a/modules/admission/tiered_scheduler.cpp
+++ b/modules/admission/tiered_scheduler.cpp
@@ -120,7 +120,7 @@
 {
     SchedulerActions actions;
     if (const GrantRecord *held = m_grants.findAttempt(event.key)) {
-        actions.emplace_back(GrantAction{event.key, event.node, held->id, held->upstreamId});
+        actions.emplace_back(GrantAction{event.key, event.node, held->id, held->upstreamId, true});
         return actions;
     }
     const int tier = event.profile->tier;
@@ -140,11 +140,11 @@
     return actions;
 }
 
-SchedulerActions TieredScheduler::onCancel(const AttemptKey &key, TimePoint now)
+SchedulerActions TieredScheduler::onCancel(const RequestId &request, TimePoint now)
 {
     SchedulerActions actions;
     for (auto &it : m_queues)
-        it.remove(key);
+        it.removeRequest(request);
     dispatch(now, actions);
     return actions;
 }
@@ -275,7 +275,7 @@
     const GrantRecord &stored = m_grants.add(std::move(record));
     m_upstreams.start(upstream, now);
     ++m_stats.grants;
-    actions.emplace_back(GrantAction{stored.key, stored.node, stored.id, stored.upstreamId});
+    actions.emplace_back(GrantAction{stored.key, stored.node, stored.id, stored.upstreamId, false});
 }
 
 void TieredScheduler::refuse(const QueuedAsk &item, Reason reason, TimePoint now,
@@ -345,7 +345,8 @@
         double ahead = 0;
         for (int other = 0; other <= tier; ++other)
             ahead += queue(other).totalCost();
-        info.queued += static_cast<std::uint32_t>(queue(tier).size());
+        info.queued[static_cast<std::size_t>(tier)] =
+                static_cast<std::uint32_t>(queue(tier).size());
         info.waits[static_cast<std::size_t>(tier)] = expectedWait(tier, ahead);
     }
     return info;
--- a/modules/admission/tiered_scheduler.h
+++ b/modules/admission/tiered_scheduler.h
@@ -23,7 +23,7 @@
     explicit TieredScheduler(const SchedulerOptions &options);
 
     SchedulerActions onAsk(const AskEvent &event, TimePoint now) override;
-    SchedulerActions onCancel(const AttemptKey &key, TimePoint now) override;
+    SchedulerActions onCancel(const RequestId &request, TimePoint now) override;
     SchedulerActions onRelease(const ReleaseEvent &event, TimePoint now) override;
     SchedulerActions onProgress(const ProgressEvent &event, TimePoint now) override;
     SchedulerActions onGrantReport(const GrantReportEvent &event, TimePoint now) override;
--- a/modules/admission/tiered_scheduler_grants.cpp
+++ b/modules/admission/tiered_scheduler_grants.cpp
@@ -104,7 +104,8 @@
 
 SchedulerActions TieredScheduler::onRelease(const ReleaseEvent &event, TimePoint now)
 {
-    m_grants.markReleased(event.grant, now);
+    if (event.final)
+        m_grants.markReleased(event.grant, now);
     if (m_grants.find(event.grant) == nullptr)
         return {};
     const GrantRecord record = m_grants.take(event.grant);
--- a/modules/admission/upstream_table.cpp
+++ b/modules/admission/upstream_table.cpp
@@ -12,6 +12,9 @@
 // The own count at the time of a report is known to within the requests then on their way.
 constexpr std::uint32_t kReportNoise = 2;
 constexpr double kReportNoiseShare = 0.1;
+// Below this share the table is that of a node that decides alone: it may use one slot of the group
+// even when its share of each upstream is less than one.
+constexpr double kLoneShare = 0.5;
 
 } // namespace
 
@@ -19,6 +22,8 @@
     : m_adaptive(options.adaptiveConcurrency)
     , m_ejection(options.ejection)
     , m_selector(options.prefixAffinity)
+    // Nodes that decide alone must not all begin with the same upstream.
+    , m_loneNext(std::hash<std::string>{}(options.grantPrefix))
 {}
 
 std::optional<std::size_t> UpstreamTable::find(const UpstreamId &id) const
@@ -107,27 +112,49 @@
         return;
     }
     const double limit = m_adaptive ? entry.limiter.limit() : entry.maximum;
-    const double slots = std::max(1.0, std::floor(limit * share * m_share));
+    const double least = m_share < kLoneShare ? 0 : 1;
+    const double slots = std::max(least, std::floor(limit * share * m_share));
     const auto capacity = static_cast<std::uint32_t>(slots);
     const std::uint32_t foreign = foreignNow(entry, now);
     m_selector.set(i, capacity > foreign ? capacity - foreign : 0, entry.inFlight);
 }
 
+bool UpstreamTable::loneSlot() const
+{
+    return m_share < kLoneShare && m_accepting > 0 && m_totalInFlight == 0 &&
+           m_selector.totalSlots() == 0;
+}
+
 std::optional<std::size_t> UpstreamTable::pick(std::uint64_t key,
                                                const std::vector<std::size_t> &excluded)
 {
-    return m_selector.pick(key, excluded);
+    if (!loneSlot())
+        return m_selector.pick(key, excluded);
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        m_loneNext = (m_loneNext + 1) % m_entries.size();
+        const bool free = m_entries[m_loneNext].accepts;
+        const bool listed =
+                std::find(excluded.begin(), excluded.end(), m_loneNext) != excluded.end();
+        if (free && !listed)
+            return m_loneNext;
+        if (free)
+            best = m_loneNext;
+    }
+    return best;
 }
 
 void UpstreamTable::start(std::size_t i, TimePoint now)
 {
     ++m_entries[i].inFlight;
+    ++m_totalInFlight;
     refresh(i, now);
 }
 
 void UpstreamTable::end(std::size_t i, TimePoint now)
 {
     --m_entries[i].inFlight;
+    --m_totalInFlight;
     refresh(i, now);
 }
 
--- a/modules/admission/upstream_table.h
+++ b/modules/admission/upstream_table.h
@@ -62,7 +62,9 @@
 
     /** @return true when some upstream accepts work, even if it has no free slot. */
     bool anyAccepts() const { return m_accepting > 0; }
-    std::uint32_t freeSlots() const { return m_selector.freeSlots(); }
+    /** @return the number of requests that can be started now. */
+    std::uint32_t freeSlots() const { return loneSlot() ? 1 : m_selector.freeSlots(); }
+    /** @return the number of requests that can run at a time. */
     std::uint32_t totalSlots() const { return m_selector.totalSlots(); }
     /** @return requests in flight at upstream @p i as counted here. */
     std::uint32_t inFlight(std::size_t i) const { return m_entries[i].inFlight; }
@@ -85,6 +87,7 @@
         std::array<std::uint32_t, kHistory> history{};
     };
 
+    bool loneSlot() const;
     std::uint32_t foreignNow(const Entry &entry, TimePoint now) const;
     std::uint32_t inFlightAt(const Entry &entry, TimePoint then) const;
     void refresh(std::size_t i, TimePoint now);
@@ -98,9 +101,11 @@
     std::vector<Entry> m_entries;
     std::unordered_map<UpstreamId, std::size_t> m_indices;
     std::size_t m_accepting = 0;
+    std::size_t m_totalInFlight = 0;
     double m_share = 1;
     std::array<TimePoint, kHistory> m_historyTimes{};
     std::size_t m_historyNext = 0;
+    std::size_t m_loneNext;
 };
 
 } // namespace hawthornslip
--- /dev/null
+++ b/modules/ownership/group_directory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/profile.h"
+#include "modules/admission/scheduler_events.h"
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace hawthornslip {
+
+/** Which groups there are, which upstreams they have and which node owns them. */
+class GroupDirectory
+{
+public:
+    /** Takes the configuration and the upstreams that leave without being drained by it. */
+    void setConfig(const SharedConfig &config, const std::unordered_set<UpstreamId> &leaving);
+
+    /** Takes the nodes that may own groups. */
+    void setOwnerCandidates(std::vector<NodeId> nodes);
+
+    /** @return the owner of @p group, or an empty id when no node may own it. */
+    const NodeId &ownerOf(const GroupId &group);
+
+    /** @return the failure domains with an upstream for @p model that accepts work. */
+    const std::vector<FailureDomain> &domainsOf(const ModelName &model) const;
+
+    /** @return true when some upstream has @p model, even one that accepts no work. */
+    bool knows(const ModelName &model) const { return m_domains.count(model) > 0; }
+
+    /** @return the upstreams of @p group. */
+    const std::vector<UpstreamInfo> &upstreamsOf(const GroupId &group) const;
+
+private:
+    std::vector<NodeId> m_candidates;
+    std::unordered_map<GroupId, NodeId> m_owners;
+    std::unordered_map<ModelName, std::vector<FailureDomain>> m_domains;
+    std::unordered_map<GroupId, std::vector<UpstreamInfo>> m_upstreams;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/selection/group_chooser.cpp
@@ -0,0 +1,59 @@
+#include "modules/selection/group_chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+// Another domain costs its distance for each message and part of the prompt caches; below this
+// difference of waits a request stays at home.
+constexpr Duration kDistancePenalty = milliseconds(50);
+// A wait that was told this long ago counts for half; at twice the age it is forgotten, so that the
+// domain is tried again.
+constexpr Duration kHalfAge = milliseconds(1500);
+
+} // namespace
+
+GroupChooser::GroupChooser(FailureDomain own)
+    : m_own(std::move(own))
+{}
+
+void GroupChooser::observe(const GroupId &group, const GroupLoadInfo &load, TimePoint now)
+{
+    m_seen[group] = {load, now};
+}
+
+Duration GroupChooser::expectedWait(const GroupId &group, int tier, TimePoint now) const
+{
+    const auto it = m_seen.find(group);
+    if (it == m_seen.end())
+        return Duration(0);
+    const double age = toSeconds(now - it->second.at) / toSeconds(2 * kHalfAge);
+    const auto wait = it->second.load.waits[static_cast<std::size_t>(tier)];
+    const double kept = std::clamp(1 - age, 0.0, 1.0);
+    return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) * kept));
+}
+
+std::optional<FailureDomain> GroupChooser::choose(const ModelName &model, int tier,
+                                                  const std::vector<FailureDomain> &domains,
+                                                  const std::vector<FailureDomain> &tried,
+                                                  TimePoint now) const
+{
+    std::optional<FailureDomain> best;
+    Duration least = Duration::max();
+    for (const auto &it : domains) {
+        if (std::find(tried.begin(), tried.end(), it) != tried.end())
+            continue;
+        const auto wait = expectedWait({model, it}, tier, now) +
+                          (it == m_own ? Duration(0) : kDistancePenalty);
+        if (wait < least) {
+            least = wait;
+            best = it;
+        }
+    }
+    return best;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/selection/group_chooser.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "modules/admission/scheduler_events.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * Chooses the failure domain that a request goes to: the own one unless its owner's last answer
+ * tells of a longer wait than that of another domain with the cost of the distance.
+ */
+class GroupChooser
+{
+public:
+    explicit GroupChooser(FailureDomain own);
+
+    /** Takes the waits that the owner of @p group sent with an answer. */
+    void observe(const GroupId &group, const GroupLoadInfo &load, TimePoint now);
+
+    /**
+     * @param domains those with upstreams for @p model.
+     * @param tried those that refused the request.
+     * @return the domain with the least expected wait, or nothing when all were tried.
+     */
+    std::optional<FailureDomain> choose(const ModelName &model, int tier,
+                                        const std::vector<FailureDomain> &domains,
+                                        const std::vector<FailureDomain> &tried,
+                                        TimePoint now) const;
+
+private:
+    struct Seen
+    {
+        GroupLoadInfo load;
+        TimePoint at;
+    };
+
+    Duration expectedWait(const GroupId &group, int tier, TimePoint now) const;
+
+    FailureDomain m_own;
+    std::unordered_map<GroupId, Seen> m_seen;
+};
+
+} // namespace hawthornslip
