Add the placement decisions

Cause: models move between upstreams with the demand, under one lease for each failure domain and a rate-limited weight store.

Change: PlacementPlanner keeps a minimum of replicas, adds one after 20 s of lasting demand, at most two loads at a time, and takes one away only to make room and after 300 s without need. OrderDispatcher turns the difference between desired and confirmed state into declarative orders with generation and fencing number, only under a lease in force, and waits out orders of the earlier holder for upstreams that ignore fencing numbers.

--- /dev/null
+++ b/modules/placement/placement_planner.cpp
@@ -0,0 +1,198 @@
+#include "modules/placement/placement_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornslip {
+
+namespace {
+
+const UpstreamTarget *find(const std::map<UpstreamId, UpstreamTarget> &targets,
+                           const UpstreamId &id)
+{
+    const auto it = targets.find(id);
+    return it == targets.end() ? nullptr : &it->second;
+}
+
+std::size_t modelCount(const PlacementState &state, const UpstreamId &id)
+{
+    const auto *desired = find(state.desired, id);
+    return desired == nullptr ? 0 : desired->models.size();
+}
+
+bool serves(const PlacementState &state, const UpstreamId &id, const ModelName &model)
+{
+    const auto *desired = find(state.desired, id);
+    return desired != nullptr && desired->models.contains(model);
+}
+
+// A model that is unloaded occupies its place until the upstream confirmed.
+bool unloads(const PlacementState &state, const UpstreamId &id)
+{
+    const auto *applied = find(state.applied, id);
+    if (applied == nullptr)
+        return false;
+    return std::any_of(applied->models.begin(), applied->models.end(),
+                       [&](const auto &it) { return !serves(state, id, it.first); });
+}
+
+double averageSlots(const std::vector<PlacementCandidate> &candidates)
+{
+    double slots = 0;
+    for (const auto &it : candidates)
+        slots += it.slots;
+    return candidates.empty() ? 1 : std::max(1.0, slots / static_cast<double>(candidates.size()));
+}
+
+void apply(PlacementState &state, const PlacementChange &change)
+{
+    auto &models = state.desired[change.upstream].models;
+    if (change.load)
+        models[change.model];
+    else
+        models.erase(change.model);
+}
+
+} // namespace
+
+std::size_t loadsInProgress(const PlacementState &state)
+{
+    std::size_t n = 0;
+    for (const auto &[id, desired] : state.desired) {
+        const auto *applied = find(state.applied, id);
+        for (const auto &[model, target] : desired.models)
+            n += applied == nullptr || !applied->models.contains(model) ? 1 : 0;
+    }
+    return n;
+}
+
+PlacementPlanner::PlacementPlanner(PlacementOptions options)
+    : m_options(options)
+{}
+
+std::vector<PlacementChange>
+PlacementPlanner::plan(const PlacementState &state,
+                       const std::vector<PlacementCandidate> &candidates,
+                       const std::map<ModelName, double> &demand,
+                       const std::vector<ModelName> &models, TimePoint now)
+{
+    updateNeeds(state, candidates, demand, models, now);
+    // Models without a replica go first, then those that lack most.
+    std::vector<std::pair<ModelName, Need>> order(m_needs.begin(), m_needs.end());
+    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) {
+        const auto lack = [](const Need &it) {
+            return static_cast<double>(it.wanted) /
+                   static_cast<double>(std::max<std::size_t>(it.replicas, 1)) *
+                   (it.replicas == 0 ? 1000 : 1);
+        };
+        return lack(a.second) > lack(b.second);
+    });
+    auto next = state;
+    std::vector<PlacementChange> changes;
+    for (const auto &[model, need] : order) {
+        if (loadsInProgress(next) >= m_options.maxLoads)
+            break;
+        if (!wantsReplica(need, now))
+            continue;
+        std::optional<PlacementChange> change;
+        if (const auto room = findRoom(next, candidates, model))
+            change = PlacementChange{*room, model, true};
+        else
+            change = makeRoom(next, candidates, model, now);
+        if (!change)
+            continue;
+        apply(next, *change);
+        changes.push_back(*change);
+    }
+    return changes;
+}
+
+void PlacementPlanner::updateNeeds(const PlacementState &state,
+                                   const std::vector<PlacementCandidate> &candidates,
+                                   const std::map<ModelName, double> &demand,
+                                   const std::vector<ModelName> &models, TimePoint now)
+{
+    for (const auto &it : models)
+        m_needs[it];
+    for (const auto &[model, n] : demand)
+        m_needs[model];
+    const double perReplica = averageSlots(candidates) * m_options.targetUse;
+    for (auto &[model, need] : m_needs) {
+        need.replicas = 0;
+        for (const auto &it : candidates)
+            need.replicas += it.takesModels && serves(state, it.id, model) ? 1 : 0;
+        const auto asked = demand.find(model);
+        const double load = asked == demand.end() ? 0 : asked->second;
+        const bool wanted =
+                load > 0 || std::find(models.begin(), models.end(), model) != models.end();
+        need.wanted = static_cast<std::size_t>(std::ceil(load / perReplica));
+        if (wanted)
+            need.wanted = std::max(need.wanted, m_options.minReplicas);
+        const auto since = [&](std::optional<TimePoint> &start, bool holds) {
+            if (!holds)
+                start.reset();
+            else if (!start)
+                start = now;
+        };
+        since(need.moreSince, need.wanted > need.replicas);
+        since(need.fewerSince, need.wanted < need.replicas);
+    }
+}
+
+bool PlacementPlanner::wantsReplica(const Need &need, TimePoint now) const
+{
+    if (need.wanted <= need.replicas)
+        return false;
+    // The minimum is restored at once: an upstream that served it may just have been lost.
+    if (need.replicas < m_options.minReplicas)
+        return true;
+    return need.moreSince && now - *need.moreSince >= m_options.growAfter;
+}
+
+bool PlacementPlanner::hasSpareReplica(const Need &need, TimePoint now) const
+{
+    return need.fewerSince && now - *need.fewerSince >= m_options.shrinkAfter &&
+           need.replicas > need.wanted;
+}
+
+std::optional<UpstreamId>
+PlacementPlanner::findRoom(const PlacementState &state,
+                           const std::vector<PlacementCandidate> &candidates,
+                           const ModelName &model) const
+{
+    const PlacementCandidate *best = nullptr;
+    for (const auto &it : candidates) {
+        if (!it.takesModels || serves(state, it.id, model) || unloads(state, it.id) ||
+            modelCount(state, it.id) >= m_options.modelsPerUpstream)
+            continue;
+        if (best == nullptr || modelCount(state, it.id) < modelCount(state, best->id))
+            best = &it;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return best->id;
+}
+
+std::optional<PlacementChange>
+PlacementPlanner::makeRoom(const PlacementState &state,
+                           const std::vector<PlacementCandidate> &candidates,
+                           const ModelName &model, TimePoint now)
+{
+    for (const auto &it : candidates) {
+        const auto *desired = find(state.desired, it.id);
+        // One unload at a time on an upstream; its room is taken by a later plan.
+        if (!it.takesModels || desired == nullptr || desired->models.contains(model) ||
+            unloads(state, it.id))
+            continue;
+        for (const auto &[other, target] : desired->models) {
+            auto &need = m_needs[other];
+            if (!hasSpareReplica(need, now))
+                continue;
+            --need.replicas;
+            return PlacementChange{it.id, other, false};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/placement/tests/order_dispatcher_test.cpp
@@ -0,0 +1,133 @@
+#include "modules/placement/order_dispatcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+class OrderDispatcherTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OrderDispatcherTest);
+    CPPUNIT_TEST(noOrderWithoutLease);
+    CPPUNIT_TEST(earlierOrdersAreWaitedOut);
+    CPPUNIT_TEST(fewLoadsAtATime);
+    CPPUNIT_TEST(unloadWaitsForSchedulers);
+    CPPUNIT_TEST(failedOrderIsRepeated);
+    CPPUNIT_TEST(staleNumberStopsOrders);
+    CPPUNIT_TEST(allKindsAreOrdered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_state.generation = 4;
+        m_dispatcher.setFencingUpstreams({UpstreamId("u0"), UpstreamId("u1"), UpstreamId("u2")});
+    }
+
+    // Guards against a paused holder that goes on to order.
+    void noOrderWithoutLease()
+    {
+        desire("u0", "a");
+        CPPUNIT_ASSERT(m_dispatcher.advance({}, m_now).empty());
+        const auto lease = held();
+        m_now = lease.usableUntil;
+        CPPUNIT_ASSERT(m_dispatcher.advance(lease, m_now).empty());
+    }
+
+    // Guards against a late order of the earlier holder that undoes a new one.
+    void earlierOrdersAreWaitedOut()
+    {
+        m_dispatcher.setFencingUpstreams({UpstreamId("u0")});
+        desire("u0", "a");
+        desire("u1", "a");
+        const auto lease = held();
+        auto orders = m_dispatcher.advance(lease, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, orders[0].fencing);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, orders[0].generation);
+        m_now += seconds(2);
+        orders = m_dispatcher.advance(lease, m_now);
+        CPPUNIT_ASSERT(orders.at(0).upstream == UpstreamId("u1"));
+    }
+
+    // Guards against a weight store that is asked beyond its rate.
+    void fewLoadsAtATime()
+    {
+        for (const auto *it : {"u0", "u1", "u2"})
+            desire(it, "a");
+        const auto orders = m_dispatcher.advance(held(), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        CPPUNIT_ASSERT(m_dispatcher.advance(held(), m_now).empty());
+        CPPUNIT_ASSERT(m_dispatcher.finished(orders[0].id, OrderResult::Done, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher.advance(held(), m_now).size());
+    }
+
+    // Guards against a model that is unloaded while requests for it are still sent.
+    void unloadWaitsForSchedulers()
+    {
+        m_state.applied[UpstreamId("u0")].models[ModelName("a")];
+        m_state.desired[UpstreamId("u0")];
+        m_dispatcher.setState(m_state, m_now);
+        CPPUNIT_ASSERT(m_dispatcher.advance(held(), m_now).empty());
+        m_now += seconds(5);
+        const auto orders = m_dispatcher.advance(held(), m_now);
+        CPPUNIT_ASSERT(orders.at(0).kind == OrderKind::UnloadModel);
+        m_dispatcher.finished(orders[0].id, OrderResult::Done, m_now);
+        CPPUNIT_ASSERT(m_dispatcher.advance(held(), m_now).empty());
+    }
+
+    // Guards against a model that is never loaded after one failure, and against a busy loop.
+    void failedOrderIsRepeated()
+    {
+        desire("u0", "a");
+        const auto order = m_dispatcher.advance(held(), m_now).at(0);
+        CPPUNIT_ASSERT(!m_dispatcher.finished(order.id, OrderResult::Failed, m_now));
+        CPPUNIT_ASSERT(m_dispatcher.advance(held(), m_now).empty());
+        m_now += seconds(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher.advance(held(), m_now).size());
+    }
+
+    // Guards against a former holder that keeps on ordering.
+    void staleNumberStopsOrders()
+    {
+        desire("u0", "a");
+        const auto order = m_dispatcher.advance(held(), m_now).at(0);
+        m_dispatcher.finished(order.id, OrderResult::StaleFencing, m_now);
+        m_now += seconds(60);
+        CPPUNIT_ASSERT(m_dispatcher.fencedOut());
+        CPPUNIT_ASSERT(m_dispatcher.advance(held(), m_now).empty());
+    }
+
+    // Guards against adapters, versions and roles that are planned and never ordered.
+    void allKindsAreOrdered()
+    {
+        auto &target = m_state.desired[UpstreamId("u0")];
+        target.role = "prefill";
+        target.models[ModelName("a")] = {"v2", {"x"}};
+        m_state.applied[UpstreamId("u0")].models[ModelName("a")] = {"v1", {}};
+        m_dispatcher.setState(m_state, m_now);
+        for (const auto kind :
+             {OrderKind::SetVersion, OrderKind::LoadAdapter, OrderKind::SetRole}) {
+            const auto order = m_dispatcher.advance(held(), m_now).at(0);
+            CPPUNIT_ASSERT(order.kind == kind);
+            m_dispatcher.finished(order.id, OrderResult::Done, m_now);
+        }
+        CPPUNIT_ASSERT(m_dispatcher.applied().at(UpstreamId("u0")) == target);
+    }
+
+private:
+    void desire(const std::string &upstream, const std::string &model)
+    {
+        m_state.desired[UpstreamId(upstream)].models[ModelName(model)];
+        m_dispatcher.setState(m_state, m_now);
+    }
+
+    HeldLease held() const { return {7, m_now, m_now + seconds(9)}; }
+
+    OrderDispatcher m_dispatcher;
+    PlacementState m_state;
+    TimePoint m_now{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderDispatcherTest);
+
+} // namespace hawthornslip
