Add the admission service that lets several nodes decide as one

Cause: a node alone sees the state of an upstream too rarely, so the owner of a group decides for all. Change: AdmissionService runs an asking side (repeats, grants held, reports, alone mode) and an owning side (schedulers, grants without acknowledgement, dead nodes) on the control thread.

--- a/modules/admission/grant_table.cpp
+++ b/modules/admission/grant_table.cpp
@@ -6,6 +6,9 @@
 
 // Reports and releases of one grant may arrive this far apart and in either order.
 constexpr Duration kRememberReleased = seconds(30);
+// A release that comes later than this after the deadline was lost, and the reports with it.
+constexpr Duration kOverdueGrace = seconds(30);
+constexpr Duration kUnknownTimeout = seconds(600);
 
 std::size_t indexOf(int tier)
 {
@@ -112,6 +115,17 @@
     return {it->second.begin(), it->second.end()};
 }
 
+std::vector<GrantId> GrantTable::overdue(TimePoint now) const
+{
+    std::vector<GrantId> found;
+    for (const auto &[id, record] : m_grants) {
+        const Duration longest = record.profile ? record.profile->totalTimeout : kUnknownTimeout;
+        if (now - record.since > longest + kOverdueGrace)
+            found.push_back(id);
+    }
+    return found;
+}
+
 GrantRecord *GrantTable::cheapestVictim(int tier)
 {
     const auto &victims = m_victims[indexOf(tier)];
--- a/modules/admission/grant_table.h
+++ b/modules/admission/grant_table.h
@@ -78,6 +78,9 @@
     /** @return the grants that @p node holds. */
     std::vector<GrantId> heldBy(const NodeId &node) const;
 
+    /** @return the grants that are older than any answer of their profile may take. */
+    std::vector<GrantId> overdue(TimePoint now) const;
+
     /** @return the stream of @p tier that loses least work when it is preempted, or nullptr. */
     GrantRecord *cheapestVictim(int tier);
 
--- a/modules/admission/tiered_scheduler.cpp
+++ b/modules/admission/tiered_scheduler.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kStarvation = seconds(5);
 // How many workspaces are tried when the first one's request cannot use the free upstreams.
 constexpr std::size_t kHeadsTried = 8;
-constexpr Duration kExpireInterval = seconds(1);
+constexpr Duration kExpireInterval = seconds(5);
 constexpr Duration kNever = seconds(3600);
 
 } // namespace
@@ -330,6 +330,8 @@
     if (now - m_expired > kExpireInterval) {
         m_expired = now;
         m_grants.expire(now);
+        for (const auto &it : m_grants.overdue(now))
+            dropGrant(it, now);
         for (auto &it : m_queues)
             it.expireIdle();
     }
--- /dev/null
+++ b/servers/admission/admission_requester.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "modules/admission/attempt_key_hash.h"
+#include "modules/selection/group_chooser.h"
+#include "servers/admission/admission_gateway.h"
+#include "servers/admission/admission_world.h"
+#include "servers/admission/local_admission.h"
+
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace hawthornslip {
+
+/**
+ * The side of admission that asks: sends the asks of this node to the owners, repeats them, keeps
+ * the grants that this node holds and decides alone while an owner cannot be reached.
+ */
+class AdmissionRequester
+{
+public:
+    explicit AdmissionRequester(AdmissionWorld &world);
+
+    /** See AdmissionGateway; @p now is the time of the call. */
+    void request(AdmissionAsk ask, AdmissionGateway::Answer answer,
+                 AdmissionGateway::Preempt preempt, TimePoint now);
+    void cancel(const RequestId &request, std::uint32_t attempt, TimePoint now);
+    void progress(const AdmissionGrant &grant, std::uint32_t tokens, Duration firstToken,
+                  TimePoint now);
+    void release(const AttemptReport &report, TimePoint now);
+
+    /** Handles a message of admission that is meant for a node that asks; others are ignored. */
+    void onMessage(const NodeId &sender, const peer::Envelope &message, TimePoint now);
+
+    /** Repeats asks, sends reports and notices unreachable owners; call each 50 ms. */
+    void onTick(TimePoint now);
+
+    /** Reports and repeats to the new owner of each group whose owner changed. */
+    void onMembership(TimePoint now);
+
+    /** Passes the upstreams of the configuration on. */
+    void onConfig(TimePoint now) { m_local.onChange(now); }
+
+    /** @return the number of asks without an answer. */
+    std::size_t pendingCount() const { return m_pending.size(); }
+    /** @return the number of grants that this node holds. */
+    std::size_t heldCount() const { return m_held.size(); }
+
+private:
+    struct Pending
+    {
+        AdmissionAsk ask;
+        AdmissionGateway::Answer answer;
+        AdmissionGateway::Preempt preempt;
+        TimePoint asked{};
+        GroupId group;
+        /** Whom it was sent to last; empty while this node decides alone. */
+        NodeId owner;
+        TimePoint sent{};
+        Duration repeatAfter{0};
+        std::vector<FailureDomain> tried;
+        std::optional<RequestError> refusal;
+    };
+
+    struct Held
+    {
+        AdmissionGrant grant;
+        AttemptKey key;
+        WorkspaceId workspace;
+        ProfileName profile;
+        AdmissionGateway::Preempt preempt;
+        NodeId granter;
+        TimePoint since{};
+        std::uint32_t tokens = 0;
+        bool firstTokenSent = false;
+        bool preempted = false;
+    };
+
+    /** What this node told the owner of a group and when it heard from it. */
+    struct OwnerView
+    {
+        NodeId owner;
+        /** When the oldest message that still has no answer was sent. */
+        std::optional<TimePoint> unansweredSince;
+        TimePoint reported{};
+        /** When the last grant was given back, and whether an empty report after it was heard. */
+        TimePoint released{};
+        std::optional<TimePoint> emptyReportSent;
+        bool settled = true;
+    };
+
+    OwnerView &viewOf(const GroupId &group);
+    void sendTo(const GroupId &group, OwnerView &view, peer::Envelope message, TimePoint now);
+    void place(const AttemptKey &key, TimePoint now);
+    void submit(Pending &pending, TimePoint now);
+    void finish(const AttemptKey &key, const AdmissionAnswer &answer);
+    void fail(const AttemptKey &key, RequestError error);
+    void accept(const AttemptKey &key, const AdmissionGrant &grant, const NodeId &granter,
+                TimePoint now);
+    void refused(const AttemptKey &key, Reason reason, Duration retryAfter, TimePoint now);
+    void withdraw(const RequestId &request, const NodeId &owner, TimePoint now);
+    void giveBack(const AdmissionGrant &grant, const NodeId &granter);
+    void preemptHeld(const GrantId &grant);
+
+    void onGrant(const NodeId &sender, const peer::Grant &message, TimePoint now);
+    void onRefusal(const NodeId &sender, const peer::Refusal &message, TimePoint now);
+    void onLoad(const NodeId &sender, const peer::GroupLoad &message, TimePoint now);
+    void onLocalAction(const GroupId &group, const SchedulerAction &action);
+    void handleLocalActions(TimePoint now);
+
+    void sendReport(const GroupId &group, OwnerView &view, TimePoint now);
+    GrantReportEvent heldIn(const GroupId &group, TimePoint now) const;
+    void checkOwners(TimePoint now);
+    void repeatAsks(TimePoint now);
+    void enterAlone(const GroupId &group, TimePoint now);
+    void leaveAlone(const GroupId &group, TimePoint now);
+    void submitAll(const GroupId &group, TimePoint now);
+
+    AdmissionWorld &m_world;
+    GroupChooser m_chooser;
+    LocalAdmission m_local;
+    std::vector<std::pair<GroupId, SchedulerAction>> m_localActions;
+    TimePoint m_localTime{};
+    std::unordered_map<AttemptKey, Pending, AttemptKeyHash> m_pending;
+    std::unordered_map<GrantId, Held> m_held;
+    std::unordered_map<GroupId, std::unordered_set<GrantId>> m_heldByGroup;
+    std::unordered_map<GroupId, OwnerView> m_views;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/admission/group_owner.cpp
@@ -0,0 +1,364 @@
+#include "servers/admission/group_owner.h"
+
+#include "core/metric_names.h"
+#include "modules/admission/scheduler_factory.h"
+#include "servers/admission/admission_codec.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <variant>
+#include <vector>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr Duration kGrantRepeat = milliseconds(300);
+constexpr Duration kGrantLife = seconds(2);
+constexpr Duration kRebuildWindow = milliseconds(500);
+// While other owners of the group may still be granting, only this share of each limit is used.
+constexpr double kReducedShare = 0.5;
+// A group that is owned elsewhere is dropped when nobody asked for it here for this long.
+constexpr Duration kForeignIdle = seconds(2);
+// A node that is not on the list of live nodes and silent for this long is taken for dead.
+constexpr Duration kHolderSilence = seconds(2);
+constexpr Duration kPublishInterval = seconds(1);
+
+std::string grantPrefix(const AdmissionWorld &world, const GroupId &id, std::uint64_t number)
+{
+    const std::string text =
+            fmt::format("{}|{}|{}|{}", world.self.value, world.incarnation, id.toString(), number);
+    return fmt::format("{:016x}-", XXH3_64bits(text.data(), text.size()));
+}
+
+} // namespace
+
+GroupOwner::GroupOwner(AdmissionWorld &world)
+    : m_world(world)
+{}
+
+bool GroupOwner::isOwn(const GroupId &id)
+{
+    return m_world.directory.ownerOf(id) == m_world.self;
+}
+
+GroupOwner::Group &GroupOwner::groupOf(const GroupId &id, TimePoint now)
+{
+    const auto [it, isNew] = m_groups.try_emplace(id);
+    Group &group = it->second;
+    group.usedAt = now;
+    if (!isNew)
+        return group;
+    SchedulerOptions options;
+    options.grantPrefix = grantPrefix(m_world, id, ++m_schedulersMade);
+    group.scheduler = makeScheduler(m_world.policy, options);
+    group.scheduler->onUpstreams(m_world.directory.upstreamsOf(id), now);
+    // Other nodes may hold grants of an earlier owner that this one has yet to hear of.
+    group.rebuilding = m_world.membership.liveNodes().size() > 1;
+    group.rebuiltAt = now + kRebuildWindow;
+    if (group.rebuilding)
+        group.scheduler->onCapacityShare(kReducedShare, now);
+    return group;
+}
+
+void GroupOwner::onMessage(const NodeId &sender, const peer::Envelope &message, TimePoint now)
+{
+    Holder &holder = m_holders[sender];
+    if (message.incarnation() < holder.incarnation)
+        return;
+    // A restarted node has lost its streams and its queued requests.
+    if (holder.incarnation != 0 && message.incarnation() > holder.incarnation)
+        loseNode(sender, now);
+    holder = {message.incarnation(), now};
+    switch (message.body_case()) {
+    case peer::Envelope::kAdmissionRequest:
+        return onRequest(sender, message.admission_request(), now);
+    case peer::Envelope::kAdmissionCancel:
+        return onCancel(RequestId(message.admission_cancel().request_id()), now);
+    case peer::Envelope::kGrantAck:
+        m_unacknowledged.erase(GrantId(message.grant_ack().grant_id()));
+        return;
+    case peer::Envelope::kGrantRelease:
+        return onRelease(message.grant_release(), now);
+    case peer::Envelope::kGrantProgress:
+        return onProgress(message.grant_progress(), now);
+    case peer::Envelope::kGrantReport:
+        return onReport(sender, message.grant_report(), now);
+    case peer::Envelope::kUpstreamReports:
+        return onLoadReports(message.upstream_reports(), now);
+    default:
+        return;
+    }
+}
+
+void GroupOwner::onRequest(const NodeId &sender, const peer::AdmissionRequest &message,
+                           TimePoint now)
+{
+    const GroupId id = admission::fromMessage(message.group());
+    const auto event = admission::fromMessage(message, sender, m_world.config);
+    if (!event) {
+        const AttemptKey key{RequestId(message.request_id()), message.attempt()};
+        sendRefusal(id, {key, sender, Reason::UnknownProfile, Duration(0)}, now);
+        return;
+    }
+    Group &group = groupOf(id, now);
+    const auto actions = group.scheduler->onAsk(*event, now);
+    apply(id, actions, now);
+    const auto answers = [&](const SchedulerAction &action) {
+        const auto *grant = std::get_if<GrantAction>(&action);
+        const auto *refusal = std::get_if<RefuseAction>(&action);
+        return (grant != nullptr && grant->key == event->key) ||
+               (refusal != nullptr && refusal->key == event->key);
+    };
+    // A queued request is answered with the load, so that its node knows that the owner is there.
+    if (std::none_of(actions.begin(), actions.end(), answers))
+        sendLoad(sender, id, now);
+}
+
+void GroupOwner::onCancel(const RequestId &request, TimePoint now)
+{
+    for (auto &[id, group] : m_groups)
+        apply(id, group.scheduler->onCancel(request, now), now);
+}
+
+void GroupOwner::onRelease(const peer::GrantRelease &message, TimePoint now)
+{
+    const GroupId id = admission::fromMessage(message.group());
+    m_unacknowledged.erase(GrantId(message.grant_id()));
+    // Without a scheduler there is no slot to free; making one would only remember the release.
+    const auto it = m_groups.find(id);
+    if (it != m_groups.end())
+        apply(id, it->second.scheduler->onRelease(admission::fromMessage(message), now), now);
+}
+
+void GroupOwner::onProgress(const peer::GrantProgress &message, TimePoint now)
+{
+    const GroupId id = admission::fromMessage(message.group());
+    const GrantId grant(message.grant_id());
+    m_unacknowledged.erase(grant);
+    const auto it = m_groups.find(id);
+    if (it == m_groups.end())
+        return;
+    const Duration firstToken(static_cast<std::int64_t>(message.first_token()));
+    apply(id, it->second.scheduler->onProgress({grant, message.tokens(), firstToken}, now), now);
+}
+
+void GroupOwner::onReport(const NodeId &sender, const peer::GrantReport &message, TimePoint now)
+{
+    const GroupId id = admission::fromMessage(message.group());
+    const auto event = admission::fromMessage(message, sender, m_world.config);
+    for (const auto &it : event.grants)
+        m_unacknowledged.erase(it.grant);
+    Group &group = groupOf(id, now);
+    apply(id, group.scheduler->onGrantReport(event, now), now);
+    sendLoad(sender, id, now);
+}
+
+void GroupOwner::onLoadReports(const peer::UpstreamReports &message, TimePoint now)
+{
+    for (auto &[id, group] : m_groups) {
+        for (const auto &it : message.reports()) {
+            const Duration age(static_cast<std::int64_t>(it.age()));
+            apply(id,
+                  group.scheduler->onLoadReport(
+                          {UpstreamId(it.upstream()), it.running(), it.queued(), age}, now),
+                  now);
+        }
+    }
+}
+
+void GroupOwner::apply(const GroupId &id, const SchedulerActions &actions, TimePoint now)
+{
+    for (const auto &it : actions) {
+        if (const auto *grant = std::get_if<GrantAction>(&it))
+            sendGrant(id, *grant, now);
+        else if (const auto *refusal = std::get_if<RefuseAction>(&it))
+            sendRefusal(id, *refusal, now);
+        else
+            sendPreempt(std::get<PreemptAction>(it));
+    }
+}
+
+void GroupOwner::sendGrant(const GroupId &id, const GrantAction &action, TimePoint now)
+{
+    peer::Grant message;
+    message.set_request_id(action.key.request.value);
+    message.set_grant_id(action.grant.value);
+    message.set_upstream(action.upstream.value);
+    message.set_attempt(action.key.attempt);
+    admission::toMessage(id, *message.mutable_group());
+    admission::toMessage(id, loadOf(id, now), *message.mutable_load());
+    peer::Envelope envelope;
+    *envelope.mutable_grant() = message;
+    // A repeat of a grant that was acknowledged is not followed: its slot is in use.
+    if (!action.repeated)
+        m_unacknowledged[action.grant] = {action.node, id, std::move(message), now, now};
+    m_world.send(action.node, std::move(envelope));
+}
+
+void GroupOwner::sendRefusal(const GroupId &id, const RefuseAction &action, TimePoint now)
+{
+    peer::Envelope envelope;
+    auto &message = *envelope.mutable_refusal();
+    message.set_request_id(action.key.request.value);
+    message.set_attempt(action.key.attempt);
+    message.set_reason(static_cast<std::uint32_t>(action.reason));
+    message.set_retry_after(static_cast<std::uint64_t>(action.retryAfter.count()));
+    admission::toMessage(id, loadOf(id, now), *message.mutable_load());
+    m_world.send(action.node, std::move(envelope));
+}
+
+void GroupOwner::sendPreempt(const PreemptAction &action)
+{
+    peer::Envelope envelope;
+    envelope.mutable_preempt()->set_grant_id(action.grant.value);
+    m_world.send(action.node, std::move(envelope));
+    m_world.metrics.count(metric::kPreemptions, {{"profile", action.profile.value}});
+}
+
+void GroupOwner::sendLoad(const NodeId &to, const GroupId &id, TimePoint now)
+{
+    peer::Envelope envelope;
+    admission::toMessage(id, loadOf(id, now), *envelope.mutable_group_load());
+    m_world.send(to, std::move(envelope));
+}
+
+GroupLoadInfo GroupOwner::loadOf(const GroupId &group, TimePoint now) const
+{
+    const auto it = m_groups.find(group);
+    return it == m_groups.end() ? GroupLoadInfo{} : it->second.scheduler->load(now);
+}
+
+void GroupOwner::repeatGrants(TimePoint now)
+{
+    std::vector<GrantId> expired;
+    for (auto &[grant, it] : m_unacknowledged) {
+        if (now - it.first >= kGrantLife) {
+            expired.push_back(grant);
+        } else if (now - it.last >= kGrantRepeat) {
+            it.last = now;
+            peer::Envelope envelope;
+            *envelope.mutable_grant() = it.message;
+            m_world.send(it.node, std::move(envelope));
+        }
+    }
+    for (const auto &grant : expired) {
+        const GroupId id = m_unacknowledged[grant].group;
+        m_unacknowledged.erase(grant);
+        const auto it = m_groups.find(id);
+        if (it == m_groups.end())
+            continue;
+        ReleaseEvent event;
+        event.grant = grant;
+        event.final = false;
+        apply(id, it->second.scheduler->onRelease(event, now), now);
+    }
+}
+
+void GroupOwner::onTick(TimePoint now)
+{
+    repeatGrants(now);
+    const bool publishes = now - m_publishedAt >= kPublishInterval;
+    if (publishes) {
+        m_publishedAt = now;
+        checkHolders(now);
+    }
+    for (auto it = m_groups.begin(); it != m_groups.end();) {
+        Group &group = it->second;
+        const bool own = isOwn(it->first);
+        if (!own && now - group.usedAt > kForeignIdle) {
+            it = m_groups.erase(it);
+            continue;
+        }
+        if (!own)
+            group.rebuiltAt = now + kRebuildWindow;
+        if (group.rebuilding && now >= group.rebuiltAt) {
+            group.rebuilding = false;
+            apply(it->first, group.scheduler->onCapacityShare(1, now), now);
+        }
+        apply(it->first, group.scheduler->onTick(now), now);
+        if (publishes)
+            publish(it->first, group, now);
+        ++it;
+    }
+}
+
+void GroupOwner::publish(const GroupId &id, Group &group, TimePoint now)
+{
+    const SchedulerStats &stats = group.scheduler->stats();
+    const auto violations = stats.orderTierViolations - group.published.orderTierViolations;
+    if (violations > 0)
+        m_world.metrics.count(metric::kInvariantViolations, {{"invariant", "I1"}},
+                              static_cast<double>(violations));
+    group.published = stats;
+    const auto load = group.scheduler->load(now);
+    const std::string name = id.toString();
+    for (std::size_t tier = 0; tier < load.queued.size(); ++tier) {
+        const std::string label = std::to_string(tier);
+        m_world.metrics.gauge(metric::kQueued, {{"group", name}, {"tier", label}},
+                              load.queued[tier]);
+    }
+}
+
+void GroupOwner::loseNode(const NodeId &node, TimePoint now)
+{
+    std::erase_if(m_unacknowledged, [&](const auto &it) { return it.second.node == node; });
+    for (auto &[id, group] : m_groups)
+        apply(id, group.scheduler->onNodeLost(node, now), now);
+}
+
+void GroupOwner::checkHolders(TimePoint now)
+{
+    for (auto it = m_holders.begin(); it != m_holders.end();) {
+        const auto &live = m_world.membership.liveNodes();
+        const auto found = std::find_if(live.begin(), live.end(),
+                                        [&](const LiveNode &n) { return n.node == it->first; });
+        const bool dead = found == live.end() && now - it->second.heard > kHolderSilence;
+        const bool restarted = found != live.end() && found->incarnation > it->second.incarnation;
+        if (dead || restarted)
+            loseNode(it->first, now);
+        if (restarted)
+            it->second.incarnation = found->incarnation;
+        it = dead ? m_holders.erase(it) : std::next(it);
+    }
+}
+
+void GroupOwner::onMembership(TimePoint now)
+{
+    checkHolders(now);
+    // The nodes repeat what they queued and report what they hold to the new owner.
+    for (auto it = m_groups.begin(); it != m_groups.end();) {
+        const bool own = isOwn(it->first);
+        if (own || it->second.rebuilding) {
+            ++it;
+            continue;
+        }
+        std::erase_if(m_unacknowledged,
+                      [&](const auto &grant) { return grant.second.group == it->first; });
+        it = m_groups.erase(it);
+    }
+}
+
+void GroupOwner::onConfig(TimePoint now)
+{
+    for (auto &[id, group] : m_groups)
+        apply(id, group.scheduler->onUpstreams(m_world.directory.upstreamsOf(id), now), now);
+}
+
+SchedulerStats GroupOwner::stats() const
+{
+    SchedulerStats sum;
+    for (const auto &[id, group] : m_groups) {
+        const auto &it = group.scheduler->stats();
+        sum.grants += it.grants;
+        sum.refusals += it.refusals;
+        sum.preemptions += it.preemptions;
+        sum.ejections += it.ejections;
+        sum.orderTierViolations += it.orderTierViolations;
+    }
+    return sum;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/admission/group_owner.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "modules/admission/group_scheduler.h"
+#include "servers/admission/admission_world.h"
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace hawthornslip {
+
+/**
+ * The side of admission that decides: keeps the scheduler of each group that this node is asked
+ * about and turns its actions into messages. It needs no agreement with other owners of the same
+ * group; two of them overload it for a moment at most.
+ */
+class GroupOwner
+{
+public:
+    explicit GroupOwner(AdmissionWorld &world);
+
+    /** Handles a message of admission that is meant for an owner; others are ignored. */
+    void onMessage(const NodeId &sender, const peer::Envelope &message, TimePoint now);
+
+    /** Repeats grants, frees unacknowledged ones and ticks the schedulers; call each 50 ms. */
+    void onTick(TimePoint now);
+
+    /** Frees what dead nodes held and drops groups that this node does not own any more. */
+    void onMembership(TimePoint now);
+
+    /** Passes the upstreams of the configuration to the schedulers. */
+    void onConfig(TimePoint now);
+
+    /** @return the load of @p group as its scheduler here sees it; all zero without a scheduler. */
+    GroupLoadInfo loadOf(const GroupId &group, TimePoint now) const;
+
+    /** @return the sum of the counts of all schedulers here. */
+    SchedulerStats stats() const;
+
+private:
+    struct Group
+    {
+        std::unique_ptr<GroupScheduler> scheduler;
+        TimePoint rebuiltAt{};
+        bool rebuilding = false;
+        TimePoint usedAt{};
+        SchedulerStats published;
+    };
+
+    struct Unacknowledged
+    {
+        NodeId node;
+        GroupId group;
+        peer::Grant message;
+        TimePoint first{};
+        TimePoint last{};
+    };
+
+    struct Holder
+    {
+        std::uint64_t incarnation = 0;
+        TimePoint heard{};
+    };
+
+    Group &groupOf(const GroupId &id, TimePoint now);
+    bool isOwn(const GroupId &id);
+    void onRequest(const NodeId &sender, const peer::AdmissionRequest &message, TimePoint now);
+    void onCancel(const RequestId &request, TimePoint now);
+    void onRelease(const peer::GrantRelease &message, TimePoint now);
+    void onProgress(const peer::GrantProgress &message, TimePoint now);
+    void onReport(const NodeId &sender, const peer::GrantReport &message, TimePoint now);
+    void onLoadReports(const peer::UpstreamReports &message, TimePoint now);
+    void apply(const GroupId &id, const SchedulerActions &actions, TimePoint now);
+    void sendGrant(const GroupId &id, const GrantAction &action, TimePoint now);
+    void sendRefusal(const GroupId &id, const RefuseAction &action, TimePoint now);
+    void sendPreempt(const PreemptAction &action);
+    void sendLoad(const NodeId &to, const GroupId &id, TimePoint now);
+    void repeatGrants(TimePoint now);
+    void checkHolders(TimePoint now);
+    void loseNode(const NodeId &node, TimePoint now);
+    void publish(const GroupId &id, Group &group, TimePoint now);
+
+    AdmissionWorld &m_world;
+    std::unordered_map<GroupId, Group> m_groups;
+    std::unordered_map<GrantId, Unacknowledged> m_unacknowledged;
+    std::unordered_map<NodeId, Holder> m_holders;
+    std::uint64_t m_schedulersMade = 0;
+    TimePoint m_publishedAt{};
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/tests/servers/admission/admission_faults_test.cpp
@@ -0,0 +1,266 @@
+#include "tests/servers/admission/admission_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+using test::AdmissionCluster;
+
+class AdmissionFaultsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AdmissionFaultsTest);
+    CPPUNIT_TEST(servesWithoutFaults);
+    CPPUNIT_TEST(badNetworkLosesNoSlot);
+    CPPUNIT_TEST(ownerCrashMovesTheGroup);
+    CPPUNIT_TEST(pausedOwnerComesBack);
+    CPPUNIT_TEST(twoOwnersAtOnce);
+    CPPUNIT_TEST(oneWayLossIsSurvived);
+    CPPUNIT_TEST(deadNodeFreesItsSlots);
+    CPPUNIT_TEST(cutOffNodeDecidesAlone);
+    CPPUNIT_TEST(drainedUpstreamRunsDry);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr int kNodes = 4;
+    static constexpr std::uint32_t kSlots = 8;
+
+    // Offers more than the six upstreams can run, tier 0 well within it.
+    static std::unique_ptr<AdmissionCluster> makeCluster(std::uint64_t seed)
+    {
+        auto cluster = std::make_unique<AdmissionCluster>(kNodes, 2, 3, kSlots, seed);
+        cluster->load.rates = {3, 8, 8};
+        return cluster;
+    }
+
+    static std::vector<int> allBut(int without)
+    {
+        std::vector<int> nodes;
+        for (int i = 0; i < kNodes; ++i) {
+            if (i != without)
+                nodes.push_back(i);
+        }
+        return nodes;
+    }
+
+    // Ends the load, waits until the streams are over and the reports have settled.
+    static void settle(AdmissionCluster &cluster)
+    {
+        cluster.load.rates = {};
+        cluster.network.faults = {};
+        cluster.network.cut.clear();
+        cluster.run(seconds(45));
+    }
+
+    static void checkInvariants(const AdmissionCluster &cluster)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cluster.orderTierViolations);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cluster.doubleAnswers);
+    }
+
+    static void checkServed(const AdmissionCluster &cluster, Duration within)
+    {
+        for (const auto &it : cluster.counts) {
+            CPPUNIT_ASSERT(it.granted > 0);
+            CPPUNIT_ASSERT(cluster.now() - it.lastGrant < within);
+        }
+    }
+
+    static void checkNoLeak(const AdmissionCluster &cluster, const std::vector<int> &nodes)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cluster.running());
+        for (const int it : nodes) {
+            CPPUNIT_ASSERT_EQUAL(0U, cluster.bookedAt(it));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cluster.waitingAt(it));
+        }
+    }
+
+public:
+    // Guards against faults of the harness that would hide those of the decisions.
+    void servesWithoutFaults()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            auto cluster = makeCluster(seed);
+            cluster->run(seconds(20));
+            checkServed(*cluster, seconds(2));
+            CPPUNIT_ASSERT(cluster->counts[0].granted + 5 > cluster->counts[0].asked);
+            CPPUNIT_ASSERT(cluster->longestExcess == Duration(0));
+            settle(*cluster);
+            checkInvariants(*cluster);
+            checkNoLeak(*cluster, allBut(-1));
+        }
+    }
+
+    // Guards against slots and requests that are lost with a message.
+    void badNetworkLosesNoSlot()
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            auto cluster = makeCluster(seed);
+            cluster->network.faults = {0.15, 0.15, 0.3, milliseconds(800)};
+            cluster->run(seconds(40));
+            checkServed(*cluster, seconds(5));
+            CPPUNIT_ASSERT(cluster->longestExcess < seconds(5));
+            settle(*cluster);
+            checkInvariants(*cluster);
+            checkNoLeak(*cluster, allBut(-1));
+        }
+    }
+
+    // Guards against a group that is not served, or overloaded, after its owner is gone.
+    void ownerCrashMovesTheGroup()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            auto cluster = makeCluster(seed);
+            cluster->run(seconds(10));
+            const int owner = cluster->ownerOf(0);
+            cluster->crash(owner);
+            cluster->run(seconds(3));
+            checkServed(*cluster, seconds(2));
+            cluster->setViews(allBut(owner));
+            cluster->run(seconds(10));
+            checkServed(*cluster, seconds(2));
+            CPPUNIT_ASSERT(cluster->longestExcess < seconds(3));
+            cluster->restart(owner);
+            cluster->setViews(allBut(-1));
+            cluster->run(seconds(10));
+            checkServed(*cluster, seconds(2));
+            settle(*cluster);
+            checkInvariants(*cluster);
+            checkNoLeak(*cluster, allBut(-1));
+        }
+    }
+
+    // Guards against an owner that resumes with an old queue and old grants.
+    void pausedOwnerComesBack()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            auto cluster = makeCluster(seed);
+            cluster->run(seconds(10));
+            const int owner = cluster->ownerOf(0);
+            cluster->pause(owner);
+            cluster->run(seconds(4));
+            cluster->setViews(allBut(owner));
+            cluster->run(seconds(6));
+            checkServed(*cluster, seconds(2));
+            cluster->resume(owner);
+            cluster->run(milliseconds(500));
+            cluster->setViews(allBut(-1));
+            cluster->run(seconds(10));
+            checkServed(*cluster, seconds(2));
+            CPPUNIT_ASSERT(cluster->longestExcess < seconds(5));
+            settle(*cluster);
+            checkInvariants(*cluster);
+            checkNoLeak(*cluster, allBut(-1));
+        }
+    }
+
+    // Guards against lasting overload while halves of the nodes believe in different owners.
+    void twoOwnersAtOnce()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            auto cluster = makeCluster(seed);
+            cluster->run(seconds(5));
+            cluster->setView(0, {0, 1});
+            cluster->setView(1, {0, 1});
+            cluster->setView(2, {2, 3});
+            cluster->setView(3, {2, 3});
+            cluster->run(seconds(5));
+            checkServed(*cluster, seconds(2));
+            cluster->setViews(allBut(-1));
+            cluster->run(seconds(15));
+            checkServed(*cluster, seconds(2));
+            // Two owners may run twice the bound until their views agree; then only until the
+            // answers that run have ended.
+            CPPUNIT_ASSERT(cluster->longestExcess < seconds(5 + 4));
+            settle(*cluster);
+            checkInvariants(*cluster);
+            checkNoLeak(*cluster, allBut(-1));
+        }
+    }
+
+    // Guards against a node that waits for ever for an owner that does not hear it.
+    void oneWayLossIsSurvived()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            auto cluster = makeCluster(seed);
+            cluster->run(seconds(5));
+            const int owner = cluster->ownerOf(0);
+            const int other = (owner + 2) % kNodes;
+            const NodeId a("n" + std::to_string(other));
+            const NodeId b("n" + std::to_string(owner));
+            cluster->network.cut = {{a, b}};
+            cluster->run(seconds(10));
+            checkServed(*cluster, seconds(2));
+            cluster->network.cut = {{b, a}};
+            cluster->run(seconds(10));
+            checkServed(*cluster, seconds(2));
+            cluster->network.cut.clear();
+            cluster->run(seconds(5));
+            CPPUNIT_ASSERT(cluster->longestExcess < seconds(12));
+            settle(*cluster);
+            checkInvariants(*cluster);
+            checkNoLeak(*cluster, allBut(-1));
+        }
+    }
+
+    // Guards against slots that stay taken by a node that is gone.
+    void deadNodeFreesItsSlots()
+    {
+        auto cluster = makeCluster(1);
+        cluster->load.meanTokens = 500;
+        cluster->run(seconds(10));
+        const int owner = cluster->ownerOf(0);
+        const int dead = (owner + 1) % kNodes;
+        cluster->crash(dead);
+        cluster->run(seconds(4));
+        cluster->setViews(allBut(dead));
+        cluster->run(seconds(3));
+        std::size_t booked = 0;
+        for (const int it : allBut(dead))
+            booked += cluster->bookedAt(it);
+        CPPUNIT_ASSERT(booked <= cluster->running() + 4);
+        settle(*cluster);
+        checkInvariants(*cluster);
+        checkNoLeak(*cluster, allBut(dead));
+    }
+
+    // Guards against a node whose callers wait while it reaches nobody, and against one that then
+    // takes more than its share.
+    void cutOffNodeDecidesAlone()
+    {
+        auto cluster = makeCluster(2);
+        cluster->run(seconds(5));
+        const NodeId alone("n0");
+        for (int i = 1; i < kNodes; ++i) {
+            const NodeId other("n" + std::to_string(i));
+            cluster->network.cut.insert({alone, other});
+            cluster->network.cut.insert({other, alone});
+        }
+        cluster->run(seconds(3));
+        const auto before = cluster->counts[0].granted;
+        const auto asked = cluster->counts[0].asked;
+        cluster->run(seconds(10));
+        CPPUNIT_ASSERT(cluster->counts[0].granted - before >
+                       (cluster->counts[0].asked - asked) * 8 / 10);
+        cluster->network.cut.clear();
+        cluster->run(seconds(5));
+        checkServed(*cluster, seconds(2));
+        settle(*cluster);
+        checkInvariants(*cluster);
+        checkNoLeak(*cluster, allBut(-1));
+    }
+
+    // Guards against breaking invariant I6.
+    void drainedUpstreamRunsDry()
+    {
+        auto cluster = makeCluster(3);
+        cluster->run(seconds(5));
+        CPPUNIT_ASSERT(cluster->runningAt(0) > 0);
+        cluster->drain(0);
+        cluster->run(seconds(15));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cluster->runningAt(0));
+        checkServed(*cluster, seconds(2));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionFaultsTest);
+
+} // namespace hawthornslip
