Test the libcurl client against peers that misbehave

Cause: whether a request may have run depends on what the client reports about broken connections.

Change: tests on loopback for refused connections, resets before and after the first byte, time-outs, cancel, pause and the repeat that libcurl makes by itself.

--- /dev/null
+++ b/tests/drivers/http/curl_upstream_client_test.cpp
@@ -0,0 +1,295 @@
+#include "core/interfaces/http_server.h"
+#include "drivers/http/curl_upstream_client.h"
+#include "tests/support/raw_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <condition_variable>
+#include <future>
+#include <mutex>
+
+namespace hawthornslip {
+
+using test::RawConnection;
+using test::RawServer;
+
+namespace {
+
+/** Collects an answer and lets the test wait for its parts. */
+class Collector : public UpstreamHandler
+{
+public:
+    void onHeaders(int httpStatus, const HttpHeaders &headers) override
+    {
+        const std::lock_guard lock(m_mutex);
+        status = httpStatus;
+        answerHeaders = headers;
+    }
+    bool onData(std::string_view piece) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (paused) {
+            ++refused;
+            m_changed.notify_all();
+            return false;
+        }
+        body += piece;
+        m_changed.notify_all();
+        return true;
+    }
+    void onEnd(const UpstreamEnd &it) override
+    {
+        const std::lock_guard lock(m_mutex);
+        ++ends;
+        end = it;
+        m_changed.notify_all();
+    }
+
+    template <typename Condition>
+    bool waitFor(Condition condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, std::chrono::seconds(10), condition);
+    }
+    bool waitEnd()
+    {
+        return waitFor([this] { return ends > 0; });
+    }
+    void setPaused(bool value)
+    {
+        const std::lock_guard lock(m_mutex);
+        paused = value;
+    }
+
+    int status = 0;
+    HttpHeaders answerHeaders;
+    std::string body;
+    UpstreamEnd end;
+    int ends = 0;
+    bool paused = false;
+    int refused = 0;
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+};
+
+} // namespace
+
+/** The libcurl client against peers on loopback that misbehave. */
+class CurlUpstreamClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CurlUpstreamClientTest);
+    CPPUNIT_TEST(answerArrivesAndConnectionIsKept);
+    CPPUNIT_TEST(refusedConnectionMeansNothingSent);
+    CPPUNIT_TEST(resetBeforeFirstByteIsBroken);
+    CPPUNIT_TEST(resetAfterFirstByteIsBroken);
+    CPPUNIT_TEST(requestMarkedOnceIsNotRepeated);
+    CPPUNIT_TEST(timeoutsAreInMilliseconds);
+    CPPUNIT_TEST(cancelClosesTheConnection);
+    CPPUNIT_TEST(pausedPieceIsDeliveredAgain);
+    CPPUNIT_TEST(clientThatStopsEndsItsCalls);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a connection per request, and against headers that libcurl adds.
+    void answerArrivesAndConnectionIsKept()
+    {
+        std::string seen;
+        RawServer server([&](RawConnection &it, int) {
+            for (int i = 0; i < 2; ++i) {
+                seen = it.readMessage();
+                it.send("HTTP/1.1 201 Created\r\nX-Request-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+            }
+            it.waitClosed();
+        });
+        CurlUpstreamClient client;
+        for (int i = 0; i < 2; ++i) {
+            const auto answer = std::make_shared<Collector>();
+            auto request = requestTo(server.url() + "/a/../b?c=%20");
+            request.headers = {{"x-empty", ""}};
+            client.send(request, answer);
+            CPPUNIT_ASSERT(answer->waitEnd());
+            CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Complete);
+            CPPUNIT_ASSERT_EQUAL(201, answer->status);
+            CPPUNIT_ASSERT_EQUAL(std::string("ok"), answer->body);
+            CPPUNIT_ASSERT_EQUAL(std::string("7"), answer->answerHeaders.at(0).second);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        CPPUNIT_ASSERT(seen.starts_with("POST /a/../b?c=%20 HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(seen.find("x-empty:") != std::string::npos);
+        CPPUNIT_ASSERT(seen.find("Expect") == std::string::npos);
+        CPPUNIT_ASSERT(seen.ends_with("\r\n\r\nbody"));
+    }
+
+    // Guards I4: only a call of which no byte was sent counts as not run.
+    void refusedConnectionMeansNothingSent()
+    {
+        CurlUpstreamClient client;
+        const auto answer = std::make_shared<Collector>();
+        client.send(requestTo("http://127.0.0.1:" + std::to_string(RawServer::closedPort())),
+                    answer);
+        CPPUNIT_ASSERT(answer->waitEnd());
+        CPPUNIT_ASSERT(answer->end.result == UpstreamResult::ConnectFailed);
+    }
+
+    // Guards I4: the upstream had the request and reset the connection without an answer.
+    void resetBeforeFirstByteIsBroken()
+    {
+        RawServer server([](RawConnection &it, int) {
+            it.readMessage();
+            it.reset();
+        });
+        assertResult(server, UpstreamResult::Broken);
+    }
+
+    // Guards against a cut answer that passes for a whole one.
+    void resetAfterFirstByteIsBroken()
+    {
+        RawServer server([](RawConnection &it, int) {
+            it.readMessage();
+            it.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+        });
+        assertResult(server, UpstreamResult::Broken);
+    }
+
+    // Guards I5: libcurl repeats a request when a kept-alive connection ends without an answer.
+    void requestMarkedOnceIsNotRepeated()
+    {
+        std::atomic<int> requests{0};
+        RawServer server([&](RawConnection &it, int) {
+            // Answers the first request of a connection and drops the connection at the next one.
+            for (int i = 0; i < 2 && !it.readMessage().empty(); ++i) {
+                ++requests;
+                if (i == 0)
+                    it.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        CurlUpstreamClient client;
+        auto request = requestTo(server.url());
+        request.sendOnce = true;
+        for (int i = 0; i < 2; ++i) {
+            const auto answer = std::make_shared<Collector>();
+            client.send(request, answer);
+            CPPUNIT_ASSERT(answer->waitEnd());
+            CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Complete);
+        }
+        CPPUNIT_ASSERT_EQUAL(2, requests.load());
+        CPPUNIT_ASSERT_EQUAL(2, server.connections());
+    }
+
+    // Guards against time-outs in whole seconds or that do not fire at all.
+    void timeoutsAreInMilliseconds()
+    {
+        RawServer silent([](RawConnection &it, int) {
+            it.readMessage();
+            it.waitClosed();
+        });
+        RawServer stalls([](RawConnection &it, int) {
+            it.readMessage();
+            it.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+            it.waitClosed();
+        });
+        const auto first =
+                timed(silent, [](UpstreamRequest &it) { it.firstByteTimeout = milliseconds(50); });
+        CPPUNIT_ASSERT(first == UpstreamResult::FirstByteTimeout);
+        const auto idle =
+                timed(stalls, [](UpstreamRequest &it) { it.idleTimeout = milliseconds(50); });
+        CPPUNIT_ASSERT(idle == UpstreamResult::IdleTimeout);
+        const auto total =
+                timed(stalls, [](UpstreamRequest &it) { it.totalTimeout = milliseconds(50); });
+        CPPUNIT_ASSERT(total == UpstreamResult::TotalTimeout);
+    }
+
+    // Guards against upstream work that goes on after its caller left, before the first byte.
+    void cancelClosesTheConnection()
+    {
+        std::promise<void> arrived;
+        std::promise<bool> closed;
+        RawServer server([&](RawConnection &it, int) {
+            it.readMessage();
+            arrived.set_value();
+            closed.set_value(it.waitClosed());
+        });
+        CurlUpstreamClient client;
+        const auto answer = std::make_shared<Collector>();
+        const auto call = client.send(requestTo(server.url()), answer);
+        arrived.get_future().wait();
+        call->cancel();
+        call->cancel();
+        CPPUNIT_ASSERT(answer->waitEnd());
+        CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Cancelled);
+        CPPUNIT_ASSERT(closed.get_future().get());
+        CPPUNIT_ASSERT_EQUAL(1, answer->ends);
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+    }
+
+    // Guards against bytes that are lost, or a stream that hangs, when a slow reader pauses it.
+    void pausedPieceIsDeliveredAgain()
+    {
+        const std::string big(1 << 20, 'x');
+        RawServer server([&](RawConnection &it, int) {
+            it.readMessage();
+            it.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(big.size()) +
+                    "\r\n\r\n" + big);
+            it.waitClosed();
+        });
+        CurlUpstreamClient client;
+        const auto answer = std::make_shared<Collector>();
+        answer->paused = true;
+        auto request = requestTo(server.url());
+        request.idleTimeout = milliseconds(20);
+        const auto call = client.send(request, answer);
+        for (int i = 1; i <= 5; ++i) {
+            CPPUNIT_ASSERT(answer->waitFor([&] { return answer->refused >= i; }));
+            if (i == 5)
+                answer->setPaused(false);
+            call->resume();
+        }
+        CPPUNIT_ASSERT(answer->waitEnd());
+        CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Complete);
+        CPPUNIT_ASSERT(answer->body == big);
+    }
+
+    // Guards against a handler that waits for ever when the node stops.
+    void clientThatStopsEndsItsCalls()
+    {
+        RawServer server([](RawConnection &it, int) { it.waitClosed(); });
+        const auto answer = std::make_shared<Collector>();
+        {
+            CurlUpstreamClient client;
+            client.send(requestTo(server.url()), answer);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, answer->ends);
+    }
+
+private:
+    static UpstreamRequest requestTo(const std::string &url)
+    {
+        UpstreamRequest request;
+        request.url = url;
+        request.body = "body";
+        return request;
+    }
+
+    template <typename Change>
+    static UpstreamResult timed(RawServer &server, Change change)
+    {
+        CurlUpstreamClient client;
+        const auto answer = std::make_shared<Collector>();
+        auto request = requestTo(server.url());
+        change(request);
+        client.send(request, answer);
+        CPPUNIT_ASSERT(answer->waitEnd());
+        return answer->end.result;
+    }
+
+    static void assertResult(RawServer &server, UpstreamResult expected)
+    {
+        CPPUNIT_ASSERT(timed(server, [](UpstreamRequest &) {}) == expected);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CurlUpstreamClientTest);
+
+} // namespace hawthornslip
