--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -59,11 +59,8 @@
         request.query = url.substr(mark + 1);
     const char **names = u_map_enum_keys(from.map_header);
     for (int i = 0; names != nullptr && names[i] != nullptr; ++i) {
-        const char *value = u_map_get(from.map_header, names[i]);
-        const auto length = u_map_get_length(from.map_header, names[i]);
-        request.headers.emplace_back(
-                lowerCase(names[i]),
-                std::string(value, length > 0 ? static_cast<std::size_t>(length) : 0));
+        request.headers.emplace_back(lowerCase(names[i]),
+                                     textOf(u_map_get(from.map_header, names[i])));
         headerBytes += request.headers.back().first.size() + request.headers.back().second.size();
     }
     if (from.binary_body != nullptr)
--- /dev/null
+++ b/servers/request_path/budgeted_retries.cpp
@@ -0,0 +1,35 @@
+#include "servers/request_path/budgeted_retries.h"
+
+namespace hawthornslip {
+
+bool BudgetedRetries::take(const Profile &profile, TimePoint /*now*/)
+{
+    const std::lock_guard lock(m_mutex);
+    return entryOf(profile).budget.tryTake();
+}
+
+void BudgetedRetries::succeeded(const Profile &profile, Duration firstToken, TimePoint /*now*/)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &entry = entryOf(profile);
+    entry.budget.onSuccess();
+    if (firstToken.count() > 0)
+        entry.hedges.observeFirstToken(firstToken);
+}
+
+std::optional<Duration> BudgetedRetries::hedgeDelay(const Profile &profile)
+{
+    const std::lock_guard lock(m_mutex);
+    return entryOf(profile).hedges.delay(profile);
+}
+
+BudgetedRetries::Entry &BudgetedRetries::entryOf(const Profile &profile)
+{
+    const auto it =
+            m_entries.try_emplace(profile.name, Entry{RetryBudget(profile.retryRatio), {}}).first;
+    // The ratio follows the configuration in force.
+    it->second.budget.setRatio(profile.retryRatio);
+    return it->second;
+}
+
+} // namespace hawthornslip
--- a/servers/request_path/request_run_attempts.cpp
+++ b/servers/request_path/request_run_attempts.cpp
@@ -180,8 +180,9 @@
     constexpr int kFirstServerError = 500;
     m_context.execution =
             attempt->status() < kFirstServerError ? Execution::Ran : Execution::MayHaveRun;
-    m_services.retries.succeeded(*m_context.profile, attempt->progress.firstToken,
-                                 m_services.clock.now());
+    // Times of hedged requests would lower the quantile that starts hedges.
+    const auto firstToken = m_hedge == nullptr ? attempt->progress.firstToken : Duration(0);
+    m_services.retries.succeeded(*m_context.profile, firstToken, m_services.clock.now());
 }
 
 void RequestRun::fail(RequestError error)
--- a/servers/request_path/retry_gate.h
+++ b/servers/request_path/retry_gate.h
@@ -16,7 +16,10 @@
     /** Takes one retry or hedge from the budget of @p profile. @return false when it is empty. */
     virtual bool take(const Profile &profile, TimePoint now) = 0;
 
-    /** Adds to the budget of @p profile; @p firstToken is the time from sending to the first token.
+    /**
+     * Adds to the budget of @p profile.
+     *
+     * @param firstToken time from sending to the first token; zero when a hedge ran as well.
      */
     virtual void succeeded(const Profile &profile, Duration firstToken, TimePoint now) = 0;
 
