--- a/tests/drivers/http/ulfius_http_server_test.cpp
+++ b/tests/drivers/http/ulfius_http_server_test.cpp
@@ -237,19 +237,18 @@
     void stopWaitsForTheLastAnswer()
     {
         std::promise<void> started;
-        std::promise<void> goOn;
         int n = 0;
         UlfiusHttpServer server(settings());
-        server.route("GET", "/a", [&](HttpRequest, const Link &) {
+        server.route("GET", "/a", [&](HttpRequest, const Link &link) {
             HttpAnswer answer;
-            answer.stream = std::make_unique<FunctionSource>([&]() -> std::optional<std::string> {
-                if (++n == 1) {
-                    started.set_value();
-                    goOn.get_future().wait();
-                    return "last";
-                }
-                return std::nullopt;
-            });
+            answer.stream =
+                    std::make_unique<FunctionSource>([&, link]() -> std::optional<std::string> {
+                        if (++n > 1)
+                            return std::nullopt;
+                        started.set_value();
+                        // A stop that does not wait closes the socket, which ends this wait.
+                        return link->wait(milliseconds(300)) ? "last" : "cut";
+                    });
             return answer;
         });
         server.start();
@@ -258,11 +257,9 @@
         started.get_future().wait();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.activeRequests());
         server.stopAccepting();
-        std::thread stopping([&] { server.stop(seconds(10)); });
         CPPUNIT_ASSERT(!RawConnection::connectTo(server.port()).open());
-        goOn.set_value();
+        server.stop(seconds(10));
         const auto answer = client.readAll();
-        stopping.join();
         CPPUNIT_ASSERT(answer.find("last") != std::string::npos);
         CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.activeRequests());
