--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -40,9 +40,15 @@
 
 # The load scenarios' runner.
 file(GLOB bench_sources CONFIGURE_DEPENDS bench/*.cpp)
-add_executable(bench_runner ${bench_sources})
-target_link_libraries(bench_runner PRIVATE hawthornslip_main standin_lib)
+list(FILTER bench_sources EXCLUDE REGEX "/main\\.cpp$")
+add_library(bench_lib STATIC ${bench_sources})
+target_link_libraries(bench_lib PUBLIC hawthornslip_main standin_lib)
+add_executable(bench_runner bench/main.cpp)
+target_link_libraries(bench_runner PRIVATE bench_lib)
 
 hawthornslip_test_program(drivers standin_lib)
 hawthornslip_test_program(servers hawthornslip_drivers standin_lib)
-hawthornslip_test_program(main standin_lib)
+hawthornslip_test_program(main standin_lib bench_lib)
+if(TARGET main_tests)
+    target_compile_definitions(main_tests PRIVATE HAWTHORNSLIP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+endif()
