Add the placement service

Cause: placement needs the demand of all nodes, and the schedulers need to know what the upstreams serve.

Change: DomainPlacement runs lease, planner and orders of one failure domain over the store and the upstreams; its state is the object placement/<domain>. Nothing is ordered while the last call to the store failed.

--- /dev/null
+++ b/servers/placement/domain_placement.cpp
@@ -0,0 +1,155 @@
+#include "servers/placement/domain_placement.h"
+
+#include "core/logger.h"
+#include "core/metric_names.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+DomainPlacement::DomainPlacement(FailureDomain domain, NodeId self, std::uint64_t incarnation,
+                                 PlacementContext context, const PlacementServiceOptions &options,
+                                 Publish publish)
+    : m_domain(std::move(domain))
+    , m_context(context)
+    , m_options(options)
+    , m_publish(std::move(publish))
+    , m_lease(std::move(self), incarnation, options.lease)
+    , m_planner(options.planner)
+    , m_dispatcher(options.orders)
+{}
+
+void DomainPlacement::setWanted(bool wanted)
+{
+    run(m_lease.setWanted(wanted, m_context.loop.now()));
+}
+
+void DomainPlacement::tick(const std::map<ModelName, double> &demand)
+{
+    const auto now = m_context.loop.now();
+    run(m_lease.wake(now));
+    if (!m_lease.held(now))
+        return;
+    if (!m_loaded) {
+        readState();
+        return;
+    }
+    if (now >= m_planAt) {
+        m_planAt = now + m_options.planInterval;
+        plan(demand);
+    }
+    giveOrders();
+}
+
+std::optional<HeldLease> DomainPlacement::active() const
+{
+    return m_loaded ? m_lease.held(m_context.loop.now()) : std::nullopt;
+}
+
+std::map<UpstreamId, std::vector<ModelName>> DomainPlacement::served() const
+{
+    std::map<UpstreamId, std::vector<ModelName>> served;
+    for (const auto &[id, desired] : m_state.desired) {
+        auto &models = served[id];
+        const auto applied = m_dispatcher.applied().find(id);
+        if (applied == m_dispatcher.applied().end())
+            continue;
+        for (const auto &[model, target] : applied->second.models) {
+            if (desired.models.contains(model))
+                models.push_back(model);
+        }
+    }
+    return served;
+}
+
+void DomainPlacement::run(const LeaseActions &actions)
+{
+    for (const auto &it : actions)
+        std::visit([this](const auto &action) { perform(action); }, it);
+}
+
+void DomainPlacement::perform(const ReadLease &action)
+{
+    m_context.store.get(leaseKey(), [this, alive = std::weak_ptr(m_alive), &loop = m_context.loop,
+                                     operation = action.operation](const StoreResult &result) {
+        loop.post([this, alive, operation, result] {
+            if (alive.expired())
+                return;
+            const auto record = result.ok() ? decodeLease(result.object.value) : std::nullopt;
+            run(m_lease.read(operation, result.error, record, result.object.version,
+                             m_context.loop.now()));
+        });
+    });
+}
+
+void DomainPlacement::perform(const WriteLease &action)
+{
+    m_context.store.put(leaseKey(), encodeLease(action.record), action.expectedVersion,
+                        [this, alive = std::weak_ptr(m_alive), &loop = m_context.loop,
+                         operation = action.operation](const StoreResult &result) {
+                            loop.post([this, alive, operation, result] {
+                                if (alive.expired())
+                                    return;
+                                m_storeFailed = !result.ok();
+                                run(m_lease.written(operation, result.error, result.object.version,
+                                                    m_context.loop.now()));
+                            });
+                        });
+}
+
+void DomainPlacement::perform(const LeaseAcquired &action)
+{
+    logEvent(LogLevel::Info, "lease_acquired",
+             {{"lease", leaseKey()}, {"fencing", action.fencing}});
+    m_context.metrics.count(metric::kLeases, {{"lease", leaseKey()}, {"result", "acquired"}});
+    m_loaded = false;
+    m_busy = false;
+    m_published = false;
+    m_dispatcher.reset();
+}
+
+void DomainPlacement::perform(const LeaseLost &action)
+{
+    logEvent(LogLevel::Info, "lease_lost", {{"lease", leaseKey()}, {"fencing", action.fencing}});
+    m_context.metrics.count(metric::kLeases, {{"lease", leaseKey()}, {"result", "lost"}});
+    m_loaded = false;
+    m_published = false;
+    m_dispatcher.reset();
+}
+
+void DomainPlacement::giveOrders()
+{
+    const auto config = m_context.config.current();
+    // Nothing moves during an outage of the store, not even what was decided before it.
+    if (m_storeFailed)
+        return;
+    std::set<UpstreamId> fencing;
+    for (const auto &it : config->upstreams) {
+        if (it.checksFencing)
+            fencing.insert(it.id);
+    }
+    m_dispatcher.setFencingUpstreams(std::move(fencing));
+    const auto now = m_context.loop.now();
+    for (const auto &order : m_dispatcher.advance(m_lease.held(now), now)) {
+        if (const auto *upstream = config->findUpstream(order.upstream))
+            send(order, upstream->url);
+        else
+            finished(order, OrderResult::Failed);
+    }
+}
+
+void DomainPlacement::finished(const UpstreamOrder &order, OrderResult result)
+{
+    m_context.metrics.count(metric::kOrders, {{"kind", nameOf(kOrderKindNames, order.kind)},
+                                              {"result", nameOf(kOrderResultNames, result)}});
+    if (result != OrderResult::Done)
+        logEvent(LogLevel::Warning, "order_failed",
+                 {{"upstream", order.upstream.value},
+                  {"kind", nameOf(kOrderKindNames, order.kind)},
+                  {"result", nameOf(kOrderResultNames, result)}});
+    if (m_dispatcher.finished(order.id, result, m_context.loop.now()) && m_loaded)
+        m_publish({order.upstream});
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/placement/domain_placement_state.cpp
@@ -0,0 +1,238 @@
+#include "core/logger.h"
+#include "servers/placement/domain_placement.h"
+#include "servers/placement/placement_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+
+/** Waits for the end of an order; the body is read only for the reason of a refusal. */
+class OrderCall : public UpstreamHandler
+{
+public:
+    explicit OrderCall(std::function<void(OrderResult)> done)
+        : m_done(std::move(done))
+    {}
+
+    void onHeaders(int /*httpStatus*/,
+                   const std::vector<std::pair<std::string, std::string>> & /*headers*/) override
+    {}
+
+    bool onData(std::string_view piece) override
+    {
+        constexpr std::size_t kMaxBody = 4096;
+        if (m_body.size() + piece.size() <= kMaxBody)
+            m_body.append(piece);
+        return true;
+    }
+
+    void onEnd(const UpstreamEnd &end) override
+    {
+        if (end.result != UpstreamResult::Complete)
+            m_done(OrderResult::Failed);
+        else if (end.httpStatus == kOk)
+            m_done(OrderResult::Done);
+        else if (end.httpStatus == kConflict && m_body.find("stale_fencing") != std::string::npos)
+            m_done(OrderResult::StaleFencing);
+        else
+            m_done(OrderResult::Failed);
+    }
+
+private:
+    std::function<void(OrderResult)> m_done;
+    std::string m_body;
+};
+
+} // namespace
+
+void DomainPlacement::readState()
+{
+    if (m_busy)
+        return;
+    m_busy = true;
+    const auto fencing = m_lease.held(m_context.loop.now())->fencing;
+    m_context.store.get(objectKey(), [this, alive = std::weak_ptr(m_alive), &loop = m_context.loop,
+                                      fencing](const StoreResult &result) {
+        loop.post([this, alive, fencing, result] {
+            if (!alive.expired())
+                stateRead(fencing, result);
+        });
+    });
+}
+
+void DomainPlacement::stateRead(std::uint64_t fencing, const StoreResult &result)
+{
+    const auto lease = m_lease.held(m_context.loop.now());
+    // The answer belongs to an earlier time of this node as the holder.
+    if (!lease || lease->fencing != fencing)
+        return;
+    m_busy = false;
+    PlacementState state;
+    if (result.ok()) {
+        const auto decoded = decodePlacement(result.object.value);
+        if (!decoded) {
+            logEvent(LogLevel::Error, "placement_undecodable", {{"domain", m_domain.value}});
+            return;
+        }
+        state = *decoded;
+    } else if (result.error != StoreError::NotFound) {
+        m_storeFailed = true;
+        return;
+    }
+    if (state.fencing > lease->fencing)
+        return;
+    m_storeFailed = false;
+    m_version = result.object.version;
+    m_loaded = true;
+    m_planAt = m_context.loop.now();
+    useState(std::move(state));
+}
+
+bool DomainPlacement::addConfigured(PlacementState &state) const
+{
+    const auto config = m_context.config.current();
+    const auto before = state.desired;
+    std::set<UpstreamId> known;
+    for (const auto &it : config->upstreams) {
+        if (it.kind != UpstreamKind::Language || it.domain != m_domain)
+            continue;
+        known.insert(it.id);
+        if (state.desired.contains(it.id))
+            continue;
+        // A new upstream serves what its configuration says until placement changes it.
+        for (const auto &model : it.models) {
+            state.desired[it.id].models[model];
+            state.applied[it.id].models[model];
+        }
+        state.desired[it.id];
+    }
+    std::erase_if(state.desired, [&](const auto &it) { return !known.contains(it.first); });
+    std::erase_if(state.applied, [&](const auto &it) { return !known.contains(it.first); });
+    return state.desired != before;
+}
+
+std::vector<PlacementCandidate> DomainPlacement::candidates() const
+{
+    std::vector<PlacementCandidate> all;
+    for (const auto &it : m_context.config.current()->upstreams) {
+        if (it.kind == UpstreamKind::Language && it.domain == m_domain)
+            all.push_back({it.id, it.state == UpstreamState::Active, it.maxConcurrency});
+    }
+    return all;
+}
+
+std::vector<ModelName> DomainPlacement::configuredModels() const
+{
+    std::set<ModelName> models;
+    for (const auto &it : m_context.config.current()->upstreams) {
+        if (it.kind == UpstreamKind::Language && it.domain == m_domain)
+            models.insert(it.models.begin(), it.models.end());
+    }
+    return {models.begin(), models.end()};
+}
+
+void DomainPlacement::plan(const std::map<ModelName, double> &demand)
+{
+    if (m_busy)
+        return;
+    auto next = m_state;
+    next.applied = m_dispatcher.applied();
+    bool changed = addConfigured(next) || next.applied != m_state.applied;
+    const auto changes =
+            m_planner.plan(next, candidates(), demand, configuredModels(), m_context.loop.now());
+    for (const auto &it : changes) {
+        auto &models = next.desired[it.upstream].models;
+        if (it.load)
+            models[it.model];
+        else
+            models.erase(it.model);
+        changed = true;
+    }
+    if (changed)
+        writeState(std::move(next));
+}
+
+void DomainPlacement::writeState(PlacementState next)
+{
+    const auto lease = m_lease.held(m_context.loop.now());
+    if (!lease)
+        return;
+    next.fencing = lease->fencing;
+    ++next.generation;
+    m_writing = std::move(next);
+    m_busy = true;
+    m_context.store.put(objectKey(), encodePlacement(m_writing), m_version,
+                        [this, alive = std::weak_ptr(m_alive), &loop = m_context.loop,
+                         fencing = lease->fencing](const StoreResult &result) {
+                            loop.post([this, alive, fencing, result] {
+                                if (!alive.expired())
+                                    stateWritten(fencing, result);
+                            });
+                        });
+}
+
+void DomainPlacement::stateWritten(std::uint64_t fencing, const StoreResult &result)
+{
+    const auto lease = m_lease.held(m_context.loop.now());
+    if (!lease || lease->fencing != fencing)
+        return;
+    m_busy = false;
+    m_storeFailed = !result.ok();
+    if (result.ok()) {
+        m_version = result.object.version;
+        useState(m_writing);
+        return;
+    }
+    // Another holder wrote, or this write may have taken effect: the object tells.
+    if (result.error == StoreError::Conflict || result.error == StoreError::Unknown)
+        m_loaded = false;
+}
+
+void DomainPlacement::useState(PlacementState state)
+{
+    const auto before = m_published ? served() : std::map<UpstreamId, std::vector<ModelName>>{};
+    const bool publishAll = !m_published;
+    m_published = true;
+    m_state = std::move(state);
+    m_dispatcher.setState(m_state, m_context.loop.now());
+    const auto after = served();
+    std::set<UpstreamId> changed;
+    for (const auto &[id, models] : after) {
+        const auto it = before.find(id);
+        if (publishAll || it == before.end() || it->second != models)
+            changed.insert(id);
+    }
+    for (const auto &[id, models] : before) {
+        if (!after.contains(id))
+            changed.insert(id);
+    }
+    if (publishAll || !changed.empty())
+        m_publish(changed);
+}
+
+void DomainPlacement::send(const UpstreamOrder &order, const std::string &url)
+{
+    UpstreamRequest request;
+    request.url = url + "/orders";
+    request.body = encodeOrder(order);
+    request.headers.emplace_back("Content-Type", "application/json");
+    // The next holder waits this long before its first order.
+    request.totalTimeout = m_options.orders.longestOrder;
+    m_context.client.send(
+            std::move(request),
+            std::make_shared<OrderCall>([this, alive = std::weak_ptr(m_alive),
+                                         &loop = m_context.loop, order](OrderResult result) {
+                loop.post([this, alive, order, result] {
+                    if (!alive.expired())
+                        finished(order, result);
+                });
+            }));
+}
+
+} // namespace hawthornslip
