Test starvation with a queue that tier 0 never works off

Cause: with no starvation bound and with cut-off answers ignored, all tests still passed. Change: the starvation test fills the slots first; a test with cut-off answers that are longer than the whole ones. Conclusion: both faults, made by hand, now fail a test.

--- a/modules/admission/tests/tiered_scheduler_test.cpp
+++ b/modules/admission/tests/tiered_scheduler_test.cpp
@@ -174,6 +174,9 @@
                 running.push_back(it.grant);
             }
         };
+        // Fills the slots and a queue that tier 0 alone never works off.
+        for (; n < 30; ++n)
+            follow(scheduler->onAsk(makeAsk("o" + std::to_string(n), 0), m_now));
         for (int step = 0; step < 200 && !served; ++step) {
             m_now += milliseconds(100);
             follow(scheduler->onAsk(makeAsk("o" + std::to_string(n++), 0), m_now));
--- a/modules/estimation/tests/length_estimator_test.cpp
+++ b/modules/estimation/tests/length_estimator_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(quantilesFollowLongTail);
     CPPUNIT_TEST(remainingGrowsWithTokensDone);
     CPPUNIT_TEST(cutOffAnswersDoNotShortenTheEstimate);
+    CPPUNIT_TEST(cutOffAnswersCountAsLonger);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,6 +63,17 @@
         }
         CPPUNIT_ASSERT(lengths.remaining(0.5) > 800);
     }
+
+    // Guards against forgetting the long answers because callers leave before their end.
+    void cutOffAnswersCountAsLonger()
+    {
+        LengthEstimator lengths(200);
+        for (int i = 0; i < 200; ++i) {
+            lengths.observe(100);
+            lengths.observeCutOff(500);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, lengths.probabilityWithin(400), 0.1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LengthEstimatorTest);
