Add the membership and configuration services

Cause: The decision modules need the peer bus, the object store and the VM list.

Change: MembershipService drives the membership protocol and serves the live nodes. ConfigService reads and watches config/current, exchanges documents between nodes, applies changes by a conditional update with read back, asks live nodes for the generation in force and keeps recent documents. Small documents are pushed to all nodes, larger ones are announced to a few nodes, which fetch them. The simulated store ends waiting watches when it goes down.

--- a/modules/config/config_adopter.cpp
+++ b/modules/config/config_adopter.cpp
@@ -32,15 +32,15 @@
         m_refused = generation;
         return {Refused{generation, std::move(parsed.faults)}};
     }
+    // The watch of the store may have brought the document before its write was confirmed.
+    if (generation == m_generation && event.acceptedHere)
+        return {Spread{true}};
     if (generation <= m_generation)
         return {};
     m_generation = generation;
     m_lastPush.clear();
-    Actions actions = {
-            Adopt{std::make_shared<const SharedConfig>(std::move(parsed.config)), event.text}};
-    if (event.acceptedHere)
-        actions.emplace_back(PushToAll{});
-    return actions;
+    return {Adopt{std::make_shared<const SharedConfig>(std::move(parsed.config)), event.text},
+            Spread{event.acceptedHere}};
 }
 
 Actions ConfigAdopter::on(const GenerationSeen &event, TimePoint now)
--- a/modules/config/config_adopter.h
+++ b/modules/config/config_adopter.h
@@ -61,9 +61,12 @@
     NodeId node;
 };
 
-/** Send the document in force to all live nodes. */
-struct PushToAll
-{};
+/** Tell other nodes about the document in force. */
+struct Spread
+{
+    /** Whether this node had the store accept it, and so is the first to know. */
+    bool acceptedHere = false;
+};
 
 /** A document was refused; it has a higher generation and faults. */
 struct Refused
@@ -72,7 +75,7 @@
     ConfigFaults faults;
 };
 
-using Action = std::variant<Adopt, SendPull, SendPush, PushToAll, Refused>;
+using Action = std::variant<Adopt, SendPull, SendPush, Spread, Refused>;
 using Actions = std::vector<Action>;
 
 } // namespace config
--- a/modules/config/json_object_reader.cpp
+++ b/modules/config/json_object_reader.cpp
@@ -1,6 +1,6 @@
 #include "modules/config/json_object_reader.h"
 
-#include "core/logger.h"
+#include "core/nearest_name.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,7 +12,6 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kLongestName = 64;
-constexpr std::size_t kFewestEditsAllowed = 2;
 
 // A hostile field name is cut, so that it floods neither the answer nor the comparison.
 std::string shortened(std::string_view text)
@@ -22,21 +21,6 @@
     return std::string(text.substr(0, kLongestName)) + "...";
 }
 
-std::size_t editDistance(std::string_view a, std::string_view b)
-{
-    std::vector<std::size_t> row(b.size() + 1);
-    for (std::size_t j = 0; j <= b.size(); ++j)
-        row[j] = j;
-    for (std::size_t i = 1; i <= a.size(); ++i) {
-        std::size_t diagonal = std::exchange(row[0], i);
-        for (std::size_t j = 1; j <= b.size(); ++j) {
-            const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-            diagonal = std::exchange(row[j], std::min({replaced, row[j] + 1, row[j - 1] + 1}));
-        }
-    }
-    return row[b.size()];
-}
-
 } // namespace
 
 void addConfigFault(ConfigFaults &faults, std::string path, std::string message)
@@ -47,21 +31,6 @@
         faults.push_back({"", "more faults are not listed"});
 }
 
-std::string_view nearestName(std::string_view name, const std::vector<std::string_view> &known)
-{
-    const std::string_view compared = name.substr(0, kLongestName);
-    std::size_t fewest = std::max(kFewestEditsAllowed, compared.size() / 2) + 1;
-    std::string_view nearest;
-    for (const auto &it : known) {
-        const std::size_t edits = editDistance(compared, it);
-        if (edits < fewest) {
-            fewest = edits;
-            nearest = it;
-        }
-    }
-    return nearest;
-}
-
 JsonObjectReader::JsonObjectReader(const Json &value, std::string path, ConfigFaults &faults)
     : m_value(value)
     , m_path(std::move(path))
--- a/modules/config/json_object_reader.h
+++ b/modules/config/json_object_reader.h
@@ -99,7 +99,4 @@
 /** Adds a fault unless there are too many already. */
 void addConfigFault(ConfigFaults &faults, std::string path, std::string message);
 
-/** @return the name in @p known with the fewest edits from @p name, or empty when none is near. */
-std::string_view nearestName(std::string_view name, const std::vector<std::string_view> &known);
-
 } // namespace hawthornslip
--- /dev/null
+++ b/servers/config/config_service.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "core/interfaces/clock.h"
+#include "core/interfaces/metrics.h"
+#include "core/interfaces/object_store.h"
+#include "modules/config/config_adopter.h"
+#include "servers/config/config_snapshot.h"
+#include "servers/config/config_source.h"
+#include "servers/config/config_writer.h"
+#include "servers/config/node_status_desk.h"
+#include "servers/membership/membership_source.h"
+#include "servers/peer/control_loop.h"
+#include "servers/peer/peer_bus.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/** Times and bounds of the configuration service. */
+struct ConfigServiceOptions
+{
+    /** Longest wait of one watch of the store. */
+    Duration watchTimeout = seconds(30);
+    /** Wait before a failed call to the store is repeated; doubles up to the longest. */
+    Duration retryDelay = milliseconds(250);
+    Duration maxRetryDelay = seconds(5);
+    /** Documents up to this size are sent to all nodes at once, larger ones are fetched. */
+    std::size_t pushWholeBytes = 16 << 10;
+    /** Nodes that each node tells about a larger document. */
+    std::size_t fanOut = 4;
+    std::size_t historyLength = 50;
+};
+
+/** A document that was in force on this node. */
+struct ConfigHistoryEntry
+{
+    std::uint64_t generation = 0;
+    std::string author;
+    UnixMillis adopted = 0;
+    std::string document;
+};
+
+/**
+ * The shared configuration of this node: read and watched in the object store, exchanged with the
+ * other nodes, and changed by operators.
+ */
+class ConfigService : public ConfigSource
+{
+public:
+    using Listener = std::function<void(const std::shared_ptr<const SharedConfig> &)>;
+
+    /**
+     * Registers with @p bus; all references have to outlive this object, and @p loop has to be
+     * stopped before it is destroyed.
+     *
+     * @param seed of the random engine; differs with each start of the process.
+     */
+    ConfigService(ControlLoop &loop, PeerBus &bus, MembershipSource &membership, ObjectStore &store,
+                  Metrics &metrics, const Clock &clock, std::uint64_t seed,
+                  ConfigServiceOptions options = {});
+
+    /** Starts to read and watch the store; may be called from any thread. */
+    void start();
+
+    std::shared_ptr<const SharedConfig> current() const override { return m_snapshot.get(); }
+
+    /** Adds a function that gets each configuration once it is in force, on the loop's thread. */
+    void subscribe(Listener listener);
+
+    /** Sets what this node tells others about itself; called on the loop's thread. */
+    void setStatusProvider(std::function<NodeFacts()> provider);
+
+    /**
+     * Offers @p document as the next configuration; may be called from any thread.
+     *
+     * @param done called once on the loop's thread, within about 10 s.
+     */
+    void apply(const std::string &document, std::function<void(const ApplyResultInfo &)> done);
+
+    /**
+     * Asks all live nodes until all have @p generation in force; may be called from any thread.
+     *
+     * @param wait longest time; 0 asks once.
+     * @param done called once on the loop's thread with the answer of each live node.
+     */
+    void nodesInForce(std::uint64_t generation, Duration wait,
+                      std::function<void(const NodesInForce &)> done);
+
+    /** @return the recent documents, newest first. Control thread only. */
+    std::vector<ConfigHistoryEntry> history() const;
+
+    /** @return true once the store answered, with a document or without. Control thread only. */
+    bool storeAnswered() const { return m_storeAnswered; }
+
+    /** @return the generation in force. Control thread only. */
+    std::uint64_t generation() const { return m_adopter.generation(); }
+
+private:
+    void registerHandlers();
+    void readStore();
+    void watchStore();
+    void onStoreResult(const StoreResult &result);
+    void retryStore();
+    void give(const config::Event &event);
+    void carryOut(const config::Action &action);
+    void adopt(const config::Adopt &action);
+    void spread(bool acceptedHere);
+    void push(const NodeId &node, bool whole);
+    void startApply(const std::string &document, std::function<void(const ApplyResultInfo &)> done);
+
+    ControlLoop &m_loop;
+    PeerBus &m_bus;
+    MembershipSource &m_membership;
+    ObjectStore &m_store;
+    Metrics &m_metrics;
+    const Clock &m_clock;
+    ConfigServiceOptions m_options;
+    std::mt19937_64 m_random;
+    ConfigAdopter m_adopter;
+    ConfigSnapshot m_snapshot;
+    NodeStatusDesk m_statusDesk;
+    std::string m_text;
+    std::vector<Listener> m_listeners;
+    std::deque<ConfigHistoryEntry> m_history;
+    bool m_storeAnswered = false;
+    std::uint64_t m_storeVersion = 0;
+    Duration m_retryDelay;
+    TimePoint m_lastWatch;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/config/config_snapshot.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/profile.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+
+namespace hawthornslip {
+
+/**
+ * Holds the configuration in force. Each thread keeps a reference of its own and looks only at a
+ * version number while nothing changes, so that readers share no written cache line.
+ */
+class ConfigSnapshot
+{
+public:
+    /** Starts with an empty configuration of generation 0. */
+    ConfigSnapshot();
+
+    ConfigSnapshot(const ConfigSnapshot &) = delete;
+    ConfigSnapshot &operator=(const ConfigSnapshot &) = delete;
+
+    /** Puts @p config in force; may be called from any thread. */
+    void set(std::shared_ptr<const SharedConfig> config);
+
+    /** @return the configuration in force, never null; may be called from any thread. */
+    std::shared_ptr<const SharedConfig> get() const;
+
+private:
+    const std::uint64_t m_id;
+    std::atomic<std::uint64_t> m_version{1};
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const SharedConfig> m_config;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/config/node_status_desk.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "servers/membership/membership_source.h"
+#include "servers/peer/control_loop.h"
+#include "servers/peer/peer_bus.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/** What a node tells others about itself. */
+struct NodeFacts
+{
+    std::uint64_t generation = 0;
+    /** The phase of its lifecycle by name. */
+    std::string phase;
+    std::uint32_t streams = 0;
+};
+
+/** What one live node answered. */
+struct NodeReport
+{
+    NodeId node;
+    bool answered = false;
+    bool inForce = false;
+    NodeFacts facts;
+};
+
+/** Which live nodes have a generation in force. */
+struct NodesInForce
+{
+    std::uint64_t generation = 0;
+    /** All live nodes by id. */
+    std::vector<NodeReport> nodes;
+
+    /** @return true when each live node has the generation in force. */
+    bool all() const;
+
+    /** @return the live nodes that do not report the generation. */
+    std::vector<NodeId> missing() const;
+};
+
+/**
+ * Asks the live nodes for their state and answers when they ask. Runs on the control loop's
+ * thread.
+ */
+class NodeStatusDesk
+{
+public:
+    using Done = std::function<void(const NodesInForce &)>;
+    using Provider = std::function<NodeFacts()>;
+
+    /** Registers with @p bus; all references have to outlive this object. */
+    NodeStatusDesk(ControlLoop &loop, PeerBus &bus, MembershipSource &membership);
+
+    /** Sets what this node answers. */
+    void setProvider(Provider provider) { m_provider = std::move(provider); }
+
+    /**
+     * Asks the live nodes, repeatedly until all have @p generation in force or @p wait has passed.
+     *
+     * @param queryId is different for each call on this node.
+     */
+    void ask(std::uint64_t queryId, std::uint64_t generation, Duration wait, Done done);
+
+private:
+    struct Poll
+    {
+        std::uint64_t generation = 0;
+        TimePoint deadline;
+        std::map<NodeId, NodeFacts> answers;
+        Done done;
+    };
+
+    void onQuery(const NodeId &sender, const peer::NodeStatusQuery &query);
+    void onStatus(const NodeId &sender, const peer::NodeStatus &status);
+    void repeat(std::uint64_t queryId);
+    void finishIfAll(std::uint64_t queryId);
+    void finish(std::uint64_t queryId);
+    NodesInForce resultOf(const Poll &poll) const;
+
+    ControlLoop &m_loop;
+    PeerBus &m_bus;
+    MembershipSource &m_membership;
+    Provider m_provider;
+    std::map<std::uint64_t, Poll> m_polls;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/membership/membership_service.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/interfaces/metrics.h"
+#include "core/interfaces/peer_transport.h"
+#include "core/interfaces/vm_list.h"
+#include "modules/membership/membership_protocol.h"
+#include "servers/membership/membership_source.h"
+#include "servers/peer/control_loop.h"
+#include "servers/peer/peer_bus.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/** Where this node is and how it looks for others. */
+struct MembershipServiceOptions
+{
+    FailureDomain domain;
+    std::string region;
+    /** Addresses tried besides those on the VM list. */
+    std::vector<NodeId> seeds;
+    Duration vmListInterval = seconds(5);
+    DetectorSettings detector;
+};
+
+/** Which nodes are live, by modules/membership over the peer bus. */
+class MembershipService : public MembershipSource
+{
+public:
+    /**
+     * Registers with @p bus; all references have to outlive this object, and @p loop has to be
+     * stopped before it is destroyed.
+     *
+     * @param seed of the random engine; differs with each start of the process.
+     */
+    MembershipService(ControlLoop &loop, PeerBus &bus, PeerTransport &transport, VmList &vmList,
+                      Metrics &metrics, std::uint64_t seed, MembershipServiceOptions options);
+
+    /** Starts to look for the other nodes; may be called from any thread. */
+    void start();
+
+    /** Tells all nodes that this one is draining; may be called from any thread. */
+    void announceLeaving();
+
+    /**
+     * Tells all nodes that this one is gone and ends probing; the last call before the process
+     * stops. May be called from any thread.
+     */
+    void announceStopped();
+
+    const std::vector<LiveNode> &liveNodes() const override { return m_live; }
+    const std::vector<NodeId> &ownerCandidates() const override { return m_owners; }
+    void subscribe(Listener listener) override;
+
+    /** @return the other nodes that the VM list and the seeds name. Control thread only. */
+    const std::vector<NodeId> &candidates() const { return m_protocol.candidates(); }
+
+    /** @return true once the VM list was read or there is none but the seeds. */
+    bool candidatesKnown() const { return m_listRead; }
+
+private:
+    void give(const membership::Event &event);
+    void carryOut(const membership::Action &action);
+    void readVmList();
+    void takeVmList(const std::optional<std::vector<VmEntry>> &entries);
+    void refresh();
+
+    ControlLoop &m_loop;
+    PeerBus &m_bus;
+    PeerTransport &m_transport;
+    VmList &m_vmList;
+    Metrics &m_metrics;
+    MembershipServiceOptions m_options;
+    MembershipProtocol m_protocol;
+    std::vector<LiveNode> m_live;
+    std::vector<NodeId> m_owners;
+    std::vector<Listener> m_listeners;
+    bool m_listRead = false;
+    bool m_stopped = false;
+};
+
+} // namespace hawthornslip
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -13,7 +13,7 @@
 namespace hawthornslip::test {
 
 /** What a FakeNetwork does to messages. */
-struct NetworkFaults
+struct LinkFaults
 {
     double loss = 0;
     double duplicates = 0;
@@ -35,7 +35,7 @@
         , m_receiver(std::move(receiver))
     {}
 
-    NetworkFaults faults;
+    LinkFaults faults;
     /** Cuts links in one direction while it returns true. */
     Blocked blocked;
 
--- a/tests/support/sim_store.h
+++ b/tests/support/sim_store.h
@@ -113,6 +113,11 @@
     void poll(const std::string &key, std::uint64_t after, TimePoint deadline,
               ObjectStore::Callback answer)
     {
+        // An outage ends the watches that wait.
+        if (faults.down) {
+            answer({StoreError::Unavailable, {}});
+            return;
+        }
         const auto it = objects.find(key);
         const bool newer = it != objects.end() && it->second.version > after;
         if (newer || m_events.now() >= deadline) {
