Add the harness of the fault matrix and its request columns

Cause: the invariants have to hold when faults strike at any step of a request.

Change: the program matrix runs the daemon's services and request path over fakes of store, network and engines in virtual time. A cell lets one fault strike when a request reaches one step, repeats keyed requests as callers do, and checks I1 to I7 after each step.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -52,3 +52,8 @@
 if(TARGET main_tests)
     target_compile_definitions(main_tests PRIVATE HAWTHORNSLIP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
 endif()
+
+# The fault matrix: the daemon's services over fakes in virtual time.
+file(GLOB matrix_sources CONFIGURE_DEPENDS tests/matrix/*.cpp)
+add_executable(matrix ${matrix_sources})
+target_link_libraries(matrix PRIVATE hawthornslip_servers)
--- /dev/null
+++ b/tests/matrix/matrix_checks.cpp
@@ -0,0 +1,89 @@
+// The checks of the invariants of docs/design.md, section 1.1.
+#include "core/metric_names.h"
+#include "tests/matrix/matrix_cluster.h"
+
+#include <algorithm>
+
+namespace hawthornslip::matrix {
+
+namespace {
+
+constexpr Duration kDrainLimit = seconds(3);
+
+} // namespace
+
+void MatrixCluster::require(bool holds, const std::string &invariant, const std::string &what)
+{
+    if (!holds && m_violation.empty())
+        m_violation = invariant + ": " + what;
+}
+
+int MatrixCluster::runsOf(const std::string &tag) const
+{
+    const auto it = m_runsByTag.find(tag);
+    return it == m_runsByTag.end() ? 0 : it->second;
+}
+
+void MatrixCluster::noteRun(const std::string &url, const std::string &request,
+                            const std::string &tag)
+{
+    ++m_runsByRequest[request];
+    const int runs = ++m_runsByTag[tag];
+    require(runs == 1 || !m_once.contains(tag), "I5", tag + " ran twice");
+    require(!m_toldNotRun.contains(request), "I4", tag + " ran after its caller was told not_run");
+    const auto drained = m_drainedAt.find(url);
+    require(drained == m_drainedAt.end() || m_world.events.now() <= drained->second + kDrainLimit,
+            "I6", url + " got new work while leaving");
+    reached(0, Stage::Send, RequestId(request));
+}
+
+void MatrixCluster::checkCallers()
+{
+    for (const auto &it : m_nodes) {
+        require(it->preempted[kOrderTier] == 0, "I1", "a stream of the order tier was preempted");
+        require(it->metrics.total(metric::kInvariantViolations) == 0, "I1/I5",
+                "a node counted a violation");
+    }
+    for (std::size_t i = m_firstOpen; i < m_callers.size(); ++i)
+        checkCaller(*m_callers[i]);
+    while (m_firstOpen < m_callers.size() && m_callers[m_firstOpen]->thread().ended())
+        ++m_firstOpen;
+}
+
+void MatrixCluster::checkCaller(const MatrixCaller &caller)
+{
+    if (!caller.thread().ended())
+        return;
+    const auto &tag = caller.ask.tag;
+    require(caller.fault.empty(), "I3", tag + ": " + caller.fault);
+    require(caller.end != CallerEnd::Pending, "I3", tag + " got no end");
+    if (caller.execution == Execution::NotRun) {
+        m_toldNotRun.insert(caller.request.value);
+        require(!m_runsByRequest.contains(caller.request.value), "I4",
+                tag + " was told not_run and had run");
+    }
+    const bool orderTier = caller.ask.profile == "pickup" || caller.ask.profile == "order";
+    require(!orderTier || caller.reason != Reason::DeadlineUnreachable, "I1",
+            tag + " of the order tier was refused early");
+    require(caller.end != CallerEnd::Broken || caller.nodeCrashed || !caller.node().stopping, "I7",
+            tag + " was cut off by a planned stop");
+}
+
+void MatrixCluster::finishStops()
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        auto &it = *m_nodes[i];
+        if (!it.stopping || !it.runs())
+            continue;
+        const bool busy =
+                std::any_of(m_callers.begin() + static_cast<std::ptrdiff_t>(m_firstOpen),
+                            m_callers.end(), [&](const auto &caller) {
+                                return &caller->node() == &it && !caller->thread().ended();
+                            });
+        // Outcomes that are not yet stored go with the process otherwise.
+        if (!busy && it.claims.heldCount() == 0)
+            crashNode(static_cast<int>(i));
+    }
+}
+
+} // namespace hawthornslip::matrix
--- /dev/null
+++ b/tests/matrix/matrix_node.cpp
@@ -0,0 +1,82 @@
+#include "tests/matrix/matrix_node.h"
+
+#include <utility>
+
+namespace hawthornslip::matrix {
+
+namespace {
+
+constexpr std::size_t kAnswerBytes = 1 << 20;
+
+std::uint64_t seedOf(const NodeId &self, std::uint64_t incarnation)
+{
+    return std::hash<NodeId>()(self) ^ (incarnation * 0x9E3779B97F4A7C15ULL);
+}
+
+} // namespace
+
+MatrixNode::MatrixNode(MatrixWorld &world, NodeId id, FailureDomain place, std::uint64_t start,
+                       std::shared_ptr<const SharedConfig> shared)
+    : self(std::move(id))
+    , domain(std::move(place))
+    , incarnation(start)
+    , m_transport(world.network, self)
+    , config(std::move(shared))
+    , loop(world.events.clock())
+    , bus(loop, m_transport, metrics, self, incarnation)
+    , store(world.store, m_alive)
+    , upstreams(world.events, world.engines, m_alive)
+    , claims(loop, bus, membership, store, metrics, world.events.clock(), seedOf(self, incarnation))
+    , admission(loop, bus, membership, config, metrics, {domain})
+    , placement(loop, bus, membership, store, upstreams, config, metrics,
+                [] { return std::map<GroupId, double>(); })
+    , probedClaims(claims, stage)
+    , probedAdmission(admission, stage, [this](int tier) { ++preempted[tier]; })
+    , answers(kAnswerBytes, seconds(600))
+    , path(PathServices{world.events.clock(),
+                        metrics,
+                        config,
+                        probedAdmission,
+                        probedClaims,
+                        upstreams,
+                        retries,
+                        rates,
+                        answers,
+                        {}})
+{
+    admission.start();
+    upstreams.onSend = [this](const std::string &request) {
+        stage(Stage::Connect, RequestId(request));
+    };
+    upstreams.onPiece = [this](const std::string &request, int pieces) {
+        if (pieces == 1)
+            stage(Stage::FirstToken, RequestId(request));
+        else if (pieces == 3)
+            stage(Stage::MidStream, RequestId(request));
+    };
+    upstreams.onEnd = [this](const std::string &request) {
+        stage(Stage::Finish, RequestId(request));
+    };
+}
+
+MatrixNode::~MatrixNode()
+{
+    if (alive())
+        crash();
+}
+
+void MatrixNode::crash()
+{
+    stage = [](Stage, const RequestId &) {};
+    *m_alive = false;
+    m_transport.setReceiver([](const std::string &) {});
+    upstreams.breakAll();
+}
+
+void MatrixNode::setPaused(bool paused)
+{
+    m_paused = paused;
+    upstreams.setPaused(paused);
+}
+
+} // namespace hawthornslip::matrix
--- a/tests/support/sim_engines.h
+++ b/tests/support/sim_engines.h
@@ -58,8 +58,8 @@
 
     /** Request ids in the order in which they were run. */
     std::vector<std::string> runs;
-    /** Body of each run. */
-    std::vector<std::string> bodies;
+    /** Tag of each run. */
+    std::vector<std::string> tags;
     std::vector<TimePoint> arrivals;
     std::vector<EngineOrder> orders;
     std::uint64_t highestFencing = 0;
@@ -75,10 +75,16 @@
     std::string requestId;
     std::string answerId;
     std::string body;
+    /** The field `tag` of the body, which the answer repeats. */
+    std::string tag;
     bool stream = false;
     bool counted = false;
+    bool begun = false;
     bool ended = false;
     int sent = 0;
+    int pieces = 0;
+    std::function<void(int)> onPiece;
+    std::function<void()> onEnd;
 };
 
 /** All upstreams of a run. */
@@ -91,6 +97,11 @@
         : m_events(events)
     {}
 
+    /** Called when an engine starts to run a request. */
+    std::function<void(const std::string &url, const std::string &requestId,
+                       const std::string &tag)>
+            onRun;
+
     /** @return the engine at the base address @p url. */
     SimEngine &at(const std::string &url) { return m_engines[url]; }
 
@@ -104,6 +115,24 @@
             end(url, it, UpstreamResult::Broken, 0);
     }
 
+    /** Resets all connections with a call in progress; the engines go on. */
+    void breakCalls()
+    {
+        for (auto &[url, calls] : m_active) {
+            for (const auto &it : std::exchange(calls, {}))
+                end(url, it, UpstreamResult::Broken, 0);
+        }
+    }
+
+    /** Mixes up the answers of all calls in progress. */
+    void crossCalls()
+    {
+        for (auto &[url, calls] : m_active) {
+            for (const auto &it : calls)
+                it->answerId = std::string(32, 'e');
+        }
+    }
+
     void start(const std::string &url, const UpstreamRequest &request, const Call &call)
     {
         const Duration latency = std::chrono::microseconds(500);
@@ -154,7 +183,9 @@
         }
         engine.arrivals.push_back(m_events.now());
         engine.runs.push_back(call->requestId);
-        engine.bodies.push_back(call->body);
+        if (onRun)
+            onRun(url, call->requestId, call->tag);
+        engine.tags.push_back(call->tag);
         call->counted = true;
         m_active[url].insert(call);
         engine.mostRunning = std::max(engine.mostRunning, ++engine.running);
@@ -177,14 +208,14 @@
         if (call->ended)
             return;
         if (!call->stream) {
-            const nlohmann::json json{{"id", call->answerId}, {"echo", call->body}};
+            const nlohmann::json json{{"id", call->answerId}, {"echo", call->tag}};
             answer(call, 200,
                    {{"x-request-id", call->answerId}, {"content-type", "application/json"}},
                    json.dump());
             end(url, call, UpstreamResult::Complete, 200);
             return;
         }
-        if (call->sent == 0)
+        if (!std::exchange(call->begun, true))
             call->deliver([call] {
                 call->handler->onHeaders(200, {{"x-request-id", call->answerId},
                                                {"content-type", "text/event-stream"}});
@@ -211,7 +242,7 @@
         event["choices"] = nlohmann::json::array();
         event["choices"].push_back(
                 {{"index", 0},
-                 {"delta", {{"content", call->body + "#" + std::to_string(call->sent)}}},
+                 {"delta", {{"content", call->tag + "#" + std::to_string(call->sent)}}},
                  {"finish_reason", last ? nlohmann::json("stop") : nlohmann::json()}});
         if (last)
             event["usage"] = {{"prompt_tokens", 1}, {"completion_tokens", engine.tokens}};
@@ -247,7 +278,11 @@
 
     static void data(const Call &call, const std::string &bytes)
     {
-        call->deliver([call, bytes] { call->handler->onData(bytes); });
+        call->deliver([call, bytes] {
+            call->handler->onData(bytes);
+            if (call->onPiece)
+                call->onPiece(++call->pieces);
+        });
     }
 
     void end(const std::string &url, const Call &call, UpstreamResult result, int status)
@@ -258,7 +293,11 @@
         if (call->counted)
             --m_engines[url].running;
         m_active[url].erase(call);
-        call->deliver([call, result, status] { call->handler->onEnd({result, status, ""}); });
+        call->deliver([call, result, status] {
+            call->handler->onEnd({result, status, ""});
+            if (call->onEnd)
+                call->onEnd();
+        });
     }
 
     SimEvents &m_events;
@@ -289,7 +328,12 @@
         }
         call->answerId = call->requestId;
         call->body = request.body;
-        call->stream = request.body.find("\"stream\":true") != std::string::npos;
+        const auto json = nlohmann::json::parse(request.body, nullptr, false);
+        if (json.is_object()) {
+            call->tag = json.value("tag", "");
+            call->stream = json.value("stream", false);
+            call->sent = json.value("resume_after_tokens", 0);
+        }
         call->deliver = [state = m_state, &events = m_events](std::function<void()> event) {
             events.after(Duration(0), [state, event = std::move(event)]() mutable {
                 if (*state->alive && state->paused)
@@ -298,6 +342,16 @@
                     event();
             });
         };
+        if (onSend)
+            onSend(call->requestId);
+        call->onPiece = [this, id = call->requestId](int pieces) {
+            if (onPiece)
+                onPiece(id, pieces);
+        };
+        call->onEnd = [this, id = call->requestId] {
+            if (onEnd)
+                onEnd(id);
+        };
         const auto slash = request.url.find('/', request.url.find("//") + 2);
         const auto url = request.url.substr(0, slash);
         if (refuseConnections)
@@ -324,15 +378,25 @@
             m_events.after(Duration(0), std::move(it));
     }
 
-    /** Closes all connections, as the end of the process does. */
-    void closeAll()
+    /** Breaks the calls in progress, as the end of the process or its network does. */
+    void breakAll()
     {
-        for (const auto &[url, call] : m_calls)
-            m_engines.cancel(url, call);
-        m_calls.clear();
         m_state->waiting.clear();
+        for (const auto &[url, call] : std::exchange(m_calls, {})) {
+            if (call->ended)
+                continue;
+            m_engines.cancel(url, call);
+            call->handler->onEnd({UpstreamResult::Broken, 0, ""});
+        }
     }
 
+    /** Called when a call starts, for harnesses that inject faults at this point. */
+    std::function<void(const std::string &requestId)> onSend;
+    /** Called after each piece of an answer was delivered, with the number of tokens so far. */
+    std::function<void(const std::string &requestId, int pieces)> onPiece;
+    /** Called when an answer has ended. */
+    std::function<void(const std::string &requestId)> onEnd;
+
 private:
     struct State
     {
