Add the node and the command line

Cause: the parts are there but no process runs them. Change: main/node.* wires the drivers, the services and the request path; serve runs it until SIGTERM and stops without cutting a stream; the other commands call a node's operator or caller interface.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -3,6 +3,7 @@
 pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(ULFIUS REQUIRED IMPORTED_TARGET libulfius)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
 pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
 
@@ -17,7 +18,7 @@
 hawthornslip_layer(drivers)
 target_include_directories(hawthornslip_drivers SYSTEM PRIVATE ${HAWTHORNSLIP_PROMETHEUS_INCLUDE})
 target_link_libraries(hawthornslip_drivers PUBLIC hawthornslip_core PkgConfig::ZMQ PkgConfig::SODIUM
-    PkgConfig::ULFIUS PkgConfig::CURL -l:libprometheus-cpp-core.so.1.0)
+    PkgConfig::ULFIUS PkgConfig::MICROHTTPD PkgConfig::CURL -l:libprometheus-cpp-core.so.1.0)
 hawthornslip_layer(servers)
 target_link_libraries(hawthornslip_servers PUBLIC hawthornslip_modules hawthornslip_proto PkgConfig::SODIUM)
 
@@ -49,9 +50,9 @@
 hawthornslip_test_program(drivers standin_lib)
 hawthornslip_test_program(servers hawthornslip_drivers standin_lib)
 hawthornslip_test_program(main standin_lib bench_lib)
-if(TARGET main_tests)
-    target_compile_definitions(main_tests PRIVATE HAWTHORNSLIP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-endif()
+target_compile_definitions(main_tests PRIVATE HAWTHORNSLIP_BINARY="$<TARGET_FILE:hawthornslip>"
+    HAWTHORNSLIP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+add_dependencies(main_tests hawthornslip)
 
 # The fault matrix: the daemon's services over fakes in virtual time.
 file(GLOB matrix_sources CONFIGURE_DEPENDS tests/matrix/*.cpp)
--- /dev/null
+++ b/main/node.cpp
@@ -0,0 +1,263 @@
+#include "main/node.h"
+
+#include "core/logger.h"
+#include "core/metric_names.h"
+#include "drivers/object_store/http_object_store.h"
+#include "drivers/object_store/memory_object_store.h"
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr auto kDrainPoll = std::chrono::milliseconds(20);
+// An outcome that the store does not take in this time is answered as unknown after a restart.
+constexpr Duration kOutcomeGrace = seconds(5);
+constexpr Duration kHousekeepingInterval = seconds(1);
+
+NodeId nodeIdOf(const ListenAddress &address)
+{
+    return NodeId(fmt::format("{}:{}", address.ip, address.port));
+}
+
+std::uint64_t newIncarnation(const Clock &clock)
+{
+    // The time in microseconds, so that a later start is always higher; the low bits tell two
+    // processes apart that start in the same millisecond by mistake.
+    constexpr std::uint64_t kMicrosPerMilli = 1000;
+    return static_cast<std::uint64_t>(clock.wallNow()) * kMicrosPerMilli +
+           randombytes_uniform(kMicrosPerMilli);
+}
+
+std::uint64_t newSeed()
+{
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof(seed));
+    return seed;
+}
+
+/** Names no candidates besides the seeds. */
+class EmptyVmList : public VmList
+{
+public:
+    void fetch(Callback done) override { done(std::vector<VmEntry>{}); }
+};
+
+std::unique_ptr<ObjectStore> makeStore(const PlatformSettings &settings, UpstreamClient &client,
+                                       Metrics &metrics)
+{
+    if (settings.objectStoreUrl.empty())
+        return std::make_unique<MemoryObjectStore>();
+    return std::make_unique<HttpObjectStore>(client, metrics, settings.objectStoreUrl,
+                                             settings.storeTimeout);
+}
+
+PathSettings pathSettings(const CallerSettings &settings)
+{
+    PathSettings path;
+    path.maxBodyBytes = settings.maxBodyBytes;
+    path.relayBufferBytes = settings.relayBufferBytes;
+    return path;
+}
+
+} // namespace
+
+Node::Node(const Settings &settings)
+    : m_settings(settings)
+    , m_incarnation(newIncarnation(m_clock))
+    , m_loop(m_clock)
+    , m_store(makeStore(settings.platform, m_platformClient, m_metrics))
+    , m_vmList(makeVmList(settings.platform, m_platformClient))
+    , m_transport(settings.peer)
+    , m_bus(m_loop, m_transport, m_metrics, nodeIdOf(settings.peer.listen), m_incarnation)
+    , m_membership(m_loop, m_bus, m_transport, *m_vmList, m_metrics, newSeed(),
+                   membershipOptions(settings))
+    , m_config(m_loop, m_bus, m_membership, *m_store, m_metrics, m_clock, newSeed())
+    , m_claims(m_loop, m_bus, m_membership, *m_store, m_metrics, m_clock, newSeed())
+    , m_admission(m_loop, m_bus, m_membership, m_config, m_metrics,
+                  {settings.domain, settings.schedulingPolicy})
+    , m_answers(PathSettings{}.storedAnswerBytes, PathSettings{}.storedAnswerTime)
+    , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, m_upstreamClient,
+                          m_retries, m_rates, m_answers, pathSettings(settings.caller)})
+    , m_caller(m_path, {[this] { return ready(); }, [this] { return m_metrics.serialize(); }})
+    , m_callerServer(callerServer(settings.caller))
+    , m_operatorServer(operatorServer(settings.operators))
+    , m_operatorBackend(m_loop, m_config, m_membership, m_bus.self(), [this] { return facts(); })
+    , m_operators(m_operatorServer, m_operatorBackend, settings.operators.keyHashes)
+{
+    m_caller.registerRoutes(m_callerServer);
+    m_config.setStatusProvider([this] {
+        const auto known = facts();
+        return NodeFacts{m_config.generation(), known.phase,
+                         static_cast<std::uint32_t>(known.streams)};
+    });
+    m_membership.subscribe([this] { m_rates.setLiveNodes(m_membership.liveNodes().size()); });
+}
+
+Node::~Node()
+{
+    if (!m_started)
+        return;
+    m_callerServer.stop(Duration{0});
+    m_operatorServer.stop(Duration{0});
+    m_loop.stop();
+    m_transport.stop();
+}
+
+HttpServerSettings Node::callerServer(const CallerSettings &settings)
+{
+    HttpServerSettings server;
+    server.listen = settings.listen;
+    server.tls = settings.tls;
+    server.maxConnections = settings.maxConnections;
+    server.maxBodyBytes = settings.maxBodyBytes;
+    server.maxHeaderBytes = settings.maxHeaderBytes;
+    return server;
+}
+
+HttpServerSettings Node::operatorServer(const OperatorSettings &settings)
+{
+    constexpr std::uint32_t kOperatorConnections = 32;
+    HttpServerSettings server;
+    server.listen = settings.listen;
+    server.tls = settings.tls;
+    server.maxConnections = kOperatorConnections;
+    return server;
+}
+
+MembershipServiceOptions Node::membershipOptions(const Settings &settings)
+{
+    MembershipServiceOptions options;
+    options.domain = settings.domain;
+    options.region = settings.region;
+    options.seeds = settings.peer.seeds;
+    return options;
+}
+
+std::unique_ptr<VmList> Node::makeVmList(const PlatformSettings & /*settings*/,
+                                         UpstreamClient & /*client*/)
+{
+    return std::make_unique<EmptyVmList>();
+}
+
+bool Node::start()
+{
+    m_loop.start();
+    m_started = true;
+    const bool bound = boost::leaf::try_handle_all(
+            [this]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(m_transport.start());
+                return true;
+            },
+            [] { return false; });
+    if (!bound) {
+        logEvent(LogLevel::Error, "peer_listen_failed", {{"address", id().value}});
+        return false;
+    }
+    m_loop.run([this] { m_admission.start(); });
+    m_membership.start();
+    m_config.start();
+    scheduleHousekeeping();
+    return startListeners();
+}
+
+bool Node::startListeners()
+{
+    if (!m_operatorServer.start()) {
+        logEvent(LogLevel::Error, "operator_listen_failed",
+                 {{"port", m_settings.operators.listen.port}});
+        return false;
+    }
+    if (!m_callerServer.start()) {
+        logEvent(LogLevel::Error, "caller_listen_failed",
+                 {{"port", m_settings.caller.listen.port}});
+        return false;
+    }
+    return true;
+}
+
+void Node::scheduleHousekeeping()
+{
+    m_loop.every(milliseconds(50), [this] { checkReady(); });
+    m_loop.every(kHousekeepingInterval, [this] {
+        m_metrics.gauge(metric::kInFlight, {}, static_cast<double>(m_caller.inFlight()));
+    });
+}
+
+void Node::checkReady()
+{
+    if (m_ready || m_draining)
+        return;
+    if (m_config.generation() > 0) {
+        m_ready = true;
+        logEvent(LogLevel::Info, "node_ready", {{"generation", m_config.generation()}});
+        return;
+    }
+    if (m_config.storeAnswered() && !m_settings.initialConfigFile.empty() && !m_initialOffered) {
+        m_initialOffered = true;
+        applyInitialConfig();
+    }
+}
+
+void Node::applyInitialConfig()
+{
+    std::ifstream file(m_settings.initialConfigFile, std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    m_config.apply(text, [this](const ApplyResultInfo &result) {
+        // Of several nodes that start at once one wins; the others read its document.
+        if (result.status == ApplyStatus::Accepted || result.status == ApplyStatus::Conflict)
+            return;
+        logEvent(LogLevel::Error, "initial_config_refused",
+                 {{"file", m_settings.initialConfigFile},
+                  {"fault", result.faults.empty() ? "" : result.faults.front().path}});
+        m_initialOffered = result.status == ApplyStatus::Invalid;
+    });
+}
+
+NodeOperatorBackend::Facts Node::facts() const
+{
+    const char *phase = m_draining ? "draining" : (m_ready ? "ready" : "starting");
+    return {phase, m_caller.inFlight()};
+}
+
+void Node::stop()
+{
+    m_draining = true;
+    m_ready = false;
+    logEvent(LogLevel::Info, "node_draining", {{"streams", m_caller.inFlight()}});
+    m_membership.announceLeaving();
+    // The balancer goes on sending until it has seen the failed readiness check.
+    std::this_thread::sleep_for(m_settings.stop.balancerNotice);
+    m_caller.setDraining(true);
+    m_callerServer.stopAccepting();
+    while (m_caller.inFlight() > 0 || m_callerServer.activeRequests() > 0)
+        std::this_thread::sleep_for(kDrainPoll);
+    waitForOutcomes();
+    m_callerServer.stop(Duration{0});
+    m_operatorServer.stop(Duration{0});
+    m_membership.announceStopped();
+    // Lets the last messages leave the queue of the control thread.
+    m_loop.run([] {});
+    m_loop.stop();
+    m_transport.stop();
+    m_started = false;
+}
+
+void Node::waitForOutcomes()
+{
+    const TimePoint deadline = m_clock.now() + kOutcomeGrace;
+    std::size_t held = 1;
+    while (held > 0 && m_clock.now() < deadline) {
+        m_loop.run([&] { held = m_claims.heldCount(); });
+        if (held > 0)
+            std::this_thread::sleep_for(kDrainPoll);
+    }
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/main/node.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/settings.h"
+#include "drivers/http/curl_upstream_client.h"
+#include "drivers/http/ulfius_http_server.h"
+#include "drivers/prometheus/prometheus_metrics.h"
+#include "drivers/system/system_clock.h"
+#include "drivers/zeromq/zeromq_transport.h"
+#include "main/node_operator_backend.h"
+#include "servers/admission/admission_service.h"
+#include "servers/caller/caller_service.h"
+#include "servers/claims/claim_service.h"
+#include "servers/config/config_service.h"
+#include "servers/membership/membership_service.h"
+#include "servers/operator/operator_service.h"
+#include "servers/peer/control_loop.h"
+#include "servers/peer/peer_bus.h"
+#include "servers/request_path/budgeted_retries.h"
+#include "servers/request_path/request_path.h"
+#include "servers/request_path/shared_rate_limiter.h"
+
+#include <atomic>
+#include <memory>
+
+namespace hawthornslip {
+
+/** All parts of one node, wired together. */
+class Node
+{
+public:
+    explicit Node(const Settings &settings);
+    /** Stops without waiting when stop() was not called. */
+    ~Node();
+
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /** Starts all parts. @return false when an address cannot be used; the log says which. */
+    bool start();
+
+    /** Stops gracefully: returns once the last stream has ended. */
+    void stop();
+
+    /** @return the id of this node, its peer address. */
+    const NodeId &id() const { return m_bus.self(); }
+
+private:
+    static HttpServerSettings callerServer(const CallerSettings &settings);
+    static HttpServerSettings operatorServer(const OperatorSettings &settings);
+    static MembershipServiceOptions membershipOptions(const Settings &settings);
+    static std::unique_ptr<VmList> makeVmList(const PlatformSettings &settings,
+                                              UpstreamClient &client);
+    bool startListeners();
+    void scheduleHousekeeping();
+    void applyInitialConfig();
+    bool ready() const { return m_ready.load(); }
+    void checkReady();
+    void waitForOutcomes();
+    NodeOperatorBackend::Facts facts() const;
+
+    const Settings m_settings;
+    SystemClock m_clock;
+    PrometheusMetrics m_metrics;
+    const std::uint64_t m_incarnation;
+    ControlLoop m_loop;
+    // Platform and upstream calls have a loop each, so that token traffic never delays a claim.
+    CurlUpstreamClient m_platformClient;
+    CurlUpstreamClient m_upstreamClient;
+    std::unique_ptr<ObjectStore> m_store;
+    std::unique_ptr<VmList> m_vmList;
+    ZeromqTransport m_transport;
+    PeerBus m_bus;
+    MembershipService m_membership;
+    ConfigService m_config;
+    ClaimService m_claims;
+    AdmissionService m_admission;
+    BudgetedRetries m_retries;
+    SharedRateLimiter m_rates;
+    AnswerStore m_answers;
+    RequestPath m_path;
+    CallerService m_caller;
+    UlfiusHttpServer m_callerServer;
+    UlfiusHttpServer m_operatorServer;
+    NodeOperatorBackend m_operatorBackend;
+    OperatorService m_operators;
+    std::atomic<bool> m_ready{false};
+    std::atomic<bool> m_draining{false};
+    /** Whether the initial configuration was offered; control thread only. */
+    bool m_initialOffered = false;
+    bool m_started = false;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/main/node_operator_backend.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "servers/config/config_service.h"
+#include "servers/membership/membership_service.h"
+#include "servers/operator/operator_backend.h"
+#include "servers/peer/control_loop.h"
+
+#include <functional>
+
+namespace hawthornslip {
+
+/** The operator interface's view of a node. */
+class NodeOperatorBackend : public OperatorBackend
+{
+public:
+    /** Facts about the node that neither service knows. */
+    struct Facts
+    {
+        std::string phase;
+        std::size_t streams = 0;
+    };
+
+    NodeOperatorBackend(ControlLoop &loop, ConfigService &config, MembershipService &membership,
+                        NodeId self, std::function<Facts()> facts);
+
+    OperatorAnswer config() override;
+    OperatorAnswer history() override;
+    OperatorAnswer apply(const std::string &document, Duration wait) override;
+    OperatorAnswer status() override;
+    OperatorAnswer nodes() override;
+
+private:
+    NodesInForce askNodes(std::uint64_t generation, Duration wait);
+
+    ControlLoop &m_loop;
+    ConfigService &m_config;
+    MembershipService &m_membership;
+    NodeId m_self;
+    std::function<Facts()> m_facts;
+};
+
+} // namespace hawthornslip
