Give placement its part in the node

Cause: the models that placement moves have to reach the schedulers, and the planner needs the demand of each node. Change: the schedulers read the configuration through PlacedConfigSource; admission reports its requests by group as demand. Conclusion: placement takes part in each node.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -80,7 +80,10 @@
                    membershipOptions(settings))
     , m_config(m_loop, m_bus, m_membership, *m_store, m_metrics, m_clock, newSeed())
     , m_claims(m_loop, m_bus, m_membership, *m_store, m_metrics, m_clock, newSeed())
-    , m_admission(m_loop, m_bus, m_membership, m_config, m_metrics,
+    , m_placement(m_loop, m_bus, m_membership, *m_store, m_platformClient, m_config, m_metrics,
+                  [this] { return m_admission.demand(); })
+    , m_placedConfig(m_config, m_placement)
+    , m_admission(m_loop, m_bus, m_membership, m_placedConfig, m_metrics,
                   {settings.domain, settings.schedulingPolicy})
     , m_answers(PathSettings{}.storedAnswerBytes, PathSettings{}.storedAnswerTime)
     , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, m_upstreamClient,
@@ -241,6 +244,7 @@
     waitForOutcomes();
     m_callerServer.stop(Duration{0});
     m_operatorServer.stop(Duration{0});
+    m_loop.run([this] { m_placement.stop(); });
     m_membership.announceStopped();
     // Lets the last messages leave the queue of the control thread.
     m_loop.run([] {});
--- a/main/node.h
+++ b/main/node.h
@@ -15,6 +15,8 @@
 #include "servers/operator/operator_service.h"
 #include "servers/peer/control_loop.h"
 #include "servers/peer/peer_bus.h"
+#include "servers/placement/placed_config_source.h"
+#include "servers/placement/placement_service.h"
 #include "servers/request_path/budgeted_retries.h"
 #include "servers/request_path/request_path.h"
 #include "servers/request_path/shared_rate_limiter.h"
@@ -73,6 +75,8 @@
     MembershipService m_membership;
     ConfigService m_config;
     ClaimService m_claims;
+    PlacementService m_placement;
+    PlacedConfigSource m_placedConfig;
     AdmissionService m_admission;
     BudgetedRetries m_retries;
     SharedRateLimiter m_rates;
--- a/servers/admission/admission_requester.cpp
+++ b/servers/admission/admission_requester.cpp
@@ -309,4 +309,14 @@
     }
 }
 
+std::map<GroupId, double> AdmissionRequester::demand() const
+{
+    std::map<GroupId, double> counts;
+    for (const auto &[key, pending] : m_pending)
+        ++counts[pending.group];
+    for (const auto &[id, held] : m_held)
+        ++counts[held.grant.group];
+    return counts;
+}
+
 } // namespace hawthornslip
--- a/servers/admission/admission_requester.h
+++ b/servers/admission/admission_requester.h
@@ -6,6 +6,7 @@
 #include "servers/admission/admission_world.h"
 #include "servers/admission/local_admission.h"
 
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -44,6 +45,8 @@
 
     /** @return the number of asks without an answer. */
     std::size_t pendingCount() const { return m_pending.size(); }
+    /** @return this node's requests that wait or run, by group. */
+    std::map<GroupId, double> demand() const;
     /** @return the number of grants that this node holds. */
     std::size_t heldCount() const { return m_held.size(); }
 
--- a/servers/admission/admission_service.h
+++ b/servers/admission/admission_service.h
@@ -7,6 +7,7 @@
 #include "servers/peer/control_loop.h"
 #include "servers/peer/peer_bus.h"
 
+#include <map>
 #include <vector>
 
 namespace hawthornslip {
@@ -46,6 +47,9 @@
     /** @return the counts of this node's schedulers; on the control thread. */
     SchedulerStats stats() const { return m_owner.stats(); }
 
+    /** @return this node's requests that wait or run, by group; control thread only. */
+    std::map<GroupId, double> demand() const { return m_requester.demand(); }
+
 private:
     void onMessage(const NodeId &sender, const peer::Envelope &message);
     void onMembership();
