Add the control columns of the fault matrix

Cause: leases and placement have to hold when faults strike while they are taken, renewed, used and handed over.

Change: control scenarios run placement under load; a cell lets a fault strike at acquire, renew, order, confirm, hand over or stop.

--- a/tests/matrix/main.cpp
+++ b/tests/matrix/main.cpp
@@ -1,4 +1,5 @@
 #include "core/logger.h"
+#include "tests/matrix/control_scenario.h"
 #include "tests/matrix/scenario.h"
 
 #include <CLI/CLI.hpp>
@@ -48,6 +49,27 @@
     }
 }
 
+void runControlTable()
+{
+    for (const auto &[fault, faultName] : kFaultNames) {
+        for (const auto &[stage, stageName] : kControlStageNames) {
+            std::string violation;
+            bool struck = false;
+            for (const bool other : {false, true}) {
+                if (!violation.empty())
+                    continue;
+                const auto result = runControlScenario(1, {{fault, stage, other}});
+                struck = struck || result.struck > 0;
+                if (!result.violation.empty())
+                    violation = (other ? "(other) " : "") + result.violation;
+            }
+            if (!struck)
+                violation = "the fault never struck";
+            report(std::string(faultName) + " / " + std::string(stageName), violation);
+        }
+    }
+}
+
 } // namespace
 
 } // namespace hawthornslip::matrix
@@ -59,6 +81,7 @@
     CLI::App app{"Runs the fault matrix of docs/faults.md."};
     CLI11_PARSE(app, argc, argv);
     hawthornslip::matrix::runTable();
+    hawthornslip::matrix::runControlTable();
     std::cout << hawthornslip::matrix::g_passed << " passed, " << hawthornslip::matrix::g_failed
               << " failed\n";
     return hawthornslip::matrix::g_failed == 0 ? 0 : 1;
--- a/tests/matrix/matrix_checks.cpp
+++ b/tests/matrix/matrix_checks.cpp
@@ -37,6 +37,32 @@
     reached(0, Stage::Send, RequestId(request));
 }
 
+void MatrixCluster::noteOrder(const std::string &url, const test::EngineOrder &order)
+{
+    auto &highest = m_highestFencing[url];
+    require(!order.accepted || order.fencing >= highest, "orders",
+            url + " carried out an order of an earlier holder after one of a later holder");
+    highest = std::max(highest, order.fencing);
+}
+
+// A paused node counts as well: its clock goes on, so its lease has to end.
+int MatrixCluster::leaseHolder() const
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_nodes[i]->alive() && m_nodes[i]->placement.leaseOf(FailureDomain(kDomain)))
+            return static_cast<int>(i);
+    }
+    return -1;
+}
+
+void MatrixCluster::checkLease()
+{
+    const auto holders = std::count_if(m_nodes.begin(), m_nodes.end(), [](const auto &it) {
+        return it->alive() && it->placement.leaseOf(FailureDomain(kDomain));
+    });
+    require(holders <= 1, "orders", "two nodes act as the holder of one lease");
+}
+
 void MatrixCluster::checkCallers()
 {
     for (const auto &it : m_nodes) {
--- a/tests/matrix/matrix_cluster.cpp
+++ b/tests/matrix/matrix_cluster.cpp
@@ -11,8 +11,6 @@
 
 // How long the members take to notice a dead or a returned node; docs/design.md, section 10.
 constexpr Duration kDetection = seconds(4);
-// How long an upstream may get new work after it was marked as leaving.
-constexpr Duration kDrainLimit = seconds(3);
 
 Profile profile(const std::string &name, int tier, bool idempotent)
 {
@@ -36,6 +34,7 @@
     m_world.engines.onRun = [this](const auto &url, const auto &request, const auto &tag) {
         noteRun(url, request, tag);
     };
+    m_world.engines.onOrder = [this](const auto &url, const auto &order) { noteOrder(url, order); };
     m_nodes.resize(kNodes);
     for (int i = 0; i < kNodes; ++i)
         startNode(i);
@@ -46,6 +45,7 @@
 MatrixCluster::~MatrixCluster()
 {
     onStage = nullptr;
+    onPut = nullptr;
     for (const auto &it : m_nodes)
         it->crash();
     m_callers.clear();
@@ -89,6 +89,10 @@
     place = std::make_unique<MatrixNode>(m_world, NodeId("n" + std::to_string(n)),
                                          FailureDomain(kDomain), ++m_lastIncarnation, m_config);
     place->stage = [this, n](Stage stage, const RequestId &request) { reached(n, stage, request); };
+    place->store.onPut = [this, n](const std::string &key, const std::string &value) {
+        if (onPut)
+            onPut(n, key, value);
+    };
     place->rates.onTake = [this, n] {
         if (m_runningCaller != nullptr)
             reached(n, Stage::Classify, m_runningCaller->request);
@@ -134,6 +138,7 @@
         while (runDue()) {
         }
         checkCallers();
+        checkLease();
         finishStops();
         if (done())
             return true;
--- a/tests/matrix/matrix_cluster.h
+++ b/tests/matrix/matrix_cluster.h
@@ -67,6 +67,12 @@
     /** Marks engine @p n as leaving in the configuration of all nodes. */
     void drainEngine(int n);
 
+    /** Called when a node writes to the store. */
+    std::function<void(int node, const std::string &key, const std::string &value)> onPut;
+
+    /** @return the node that holds the placement lease now, or -1. */
+    int leaseHolder() const;
+
     /** Called when a request reaches a stage; the event it schedules runs before it goes on. */
     std::function<void(Stage, int node, const RequestId &)> onStage;
 
@@ -88,6 +94,8 @@
     TimePoint nextEvent(TimePoint end) const;
     void finishStops();
     void noteRun(const std::string &url, const std::string &request, const std::string &tag);
+    void noteOrder(const std::string &url, const test::EngineOrder &order);
+    void checkLease();
     void checkCallers();
     void checkCaller(const MatrixCaller &caller);
 
@@ -102,6 +110,7 @@
     std::map<std::string, int> m_runsByRequest;
     std::map<std::string, int> m_runsByTag;
     std::map<std::string, TimePoint> m_drainedAt;
+    std::map<std::string, std::uint64_t> m_highestFencing;
     /** Tags that may run only once. */
     std::set<std::string> m_once;
     /** Request ids that a caller was told not to have run. */
--- a/tests/matrix/matrix_node.cpp
+++ b/tests/matrix/matrix_node.cpp
@@ -28,8 +28,7 @@
     , upstreams(world.events, world.engines, m_alive)
     , claims(loop, bus, membership, store, metrics, world.events.clock(), seedOf(self, incarnation))
     , admission(loop, bus, membership, config, metrics, {domain})
-    , placement(loop, bus, membership, store, upstreams, config, metrics,
-                [] { return std::map<GroupId, double>(); })
+    , placement(loop, bus, membership, store, upstreams, config, metrics, [this] { return demand; })
     , probedClaims(claims, stage)
     , probedAdmission(admission, stage, [this](int tier) { ++preempted[tier]; })
     , answers(kAnswerBytes, seconds(600))
--- a/tests/matrix/matrix_node.h
+++ b/tests/matrix/matrix_node.h
@@ -12,6 +12,7 @@
 #include "tests/support/sim_network.h"
 #include "tests/support/sim_store.h"
 
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -73,6 +74,8 @@
     bool stopping = false;
     /** Tells at which stage a request is. */
     StageHook stage = [](Stage, const RequestId &) {};
+    /** Requests by group that placement is told of. */
+    std::map<GroupId, double> demand;
     /** Streams preempted by tier. */
     int preempted[kTierCount] = {};
 
--- a/tests/matrix/stages.h
+++ b/tests/matrix/stages.h
@@ -40,6 +40,31 @@
         {Stage::Reply, "reply"},
 }};
 
+/** The steps of control work at which a fault may strike. */
+enum class ControlStage {
+    WriteConfig,
+    Spread,
+    Adopt,
+    Acquire,
+    Renew,
+    Order,
+    Confirm,
+    HandOver,
+    Stop
+};
+
+inline constexpr EnumNames<ControlStage, 9> kControlStageNames = {{
+        {ControlStage::WriteConfig, "write config"},
+        {ControlStage::Spread, "spread"},
+        {ControlStage::Adopt, "adopt"},
+        {ControlStage::Acquire, "acquire"},
+        {ControlStage::Renew, "renew"},
+        {ControlStage::Order, "order"},
+        {ControlStage::Confirm, "confirm"},
+        {ControlStage::HandOver, "hand over"},
+        {ControlStage::Stop, "stop"},
+}};
+
 /** Called when a request reaches a stage. */
 using StageHook = std::function<void(Stage stage, const RequestId &request)>;
 
--- a/tests/support/sim_engines.h
+++ b/tests/support/sim_engines.h
@@ -102,6 +102,9 @@
                        const std::string &tag)>
             onRun;
 
+    /** Called when an engine has decided on an order. */
+    std::function<void(const std::string &url, const EngineOrder &order)> onOrder;
+
     /** @return the engine at the base address @p url. */
     SimEngine &at(const std::string &url) { return m_engines[url]; }
 
@@ -260,6 +263,8 @@
             order.accepted = false;
         engine.highestFencing = std::max(engine.highestFencing, order.fencing);
         engine.orders.push_back(order);
+        if (onOrder)
+            onOrder(url, order);
         const int status = order.accepted ? 200 : 409;
         answer(call, status, {}, order.accepted ? "{}" : R"({"error":"stale_fencing"})");
         end(url, call, UpstreamResult::Complete, status);
--- a/tests/support/sim_store.h
+++ b/tests/support/sim_store.h
@@ -4,6 +4,7 @@
 #include "tests/support/sim_events.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -190,6 +191,8 @@
 
     /** Faults of this node's way only. */
     StoreFaults way;
+    /** Called before each write, for harnesses that inject faults at this point. */
+    std::function<void(const std::string &key, const std::string &value)> onPut;
 
     void get(const std::string &key, Callback done) override
     {
@@ -199,6 +202,8 @@
     void put(const std::string &key, const std::string &value, std::uint64_t expectedVersion,
              Callback done) override
     {
+        if (onPut)
+            onPut(key, value);
         m_store.write(key, value, expectedVersion, way, guarded(std::move(done)));
     }
 
