Find the concurrency of engines without hidden queues

Resumed streams are refused at their deadline only, and a first-token estimate counts for at most half of the target, so that estimates of a bad time cannot refuse everything.

--- a/bench/decisions/group_model.h
+++ b/bench/decisions/group_model.h
@@ -53,6 +53,8 @@
     /** Share of the requests that the large workspace sends. */
     double largeShare = 0.4;
     double promptTokens = 400;
+    /** Whether the engines report running and queued requests, a second late. */
+    bool reports = true;
     /** Index of an engine that becomes slow at a third of the run; none if negative. */
     int straggler = -1;
     double straggleFactor = 5;
@@ -121,6 +123,8 @@
         std::list<std::uint64_t> cached;
         std::vector<std::size_t> running;
         std::deque<std::size_t> waiting;
+        /** Running and queued requests at the last report's time. */
+        std::pair<std::uint32_t, std::uint32_t> seen;
     };
 
     void arrive();
@@ -133,6 +137,7 @@
     void retry(std::size_t i);
     void finish(std::size_t i);
     void crash(std::size_t e);
+    void report();
     bool isDown(std::size_t e) const;
     double slowness(std::size_t e) const;
     bool measuring() const { return m_now >= m_start + m_spec.warmUp; }
--- a/bench/decisions/policy_experiment.cpp
+++ b/bench/decisions/policy_experiment.cpp
@@ -76,6 +76,7 @@
     std::uint32_t maxConcurrency = 64;
     std::int64_t duration = 150;
     double prompt = 400;
+    bool noReports = false;
     app.add_option("--loads", loads, "demand as multiples of the capacity");
     app.add_option("--seeds", seeds, "seeds");
     app.add_option("--variants", names, "variants; all without");
@@ -85,6 +86,7 @@
     app.add_option("--max-concurrency", maxConcurrency, "configured bound of each engine");
     app.add_option("--duration", duration, "seconds of model time");
     app.add_option("--prompt", prompt, "mean prompt tokens");
+    app.add_flag("--no-reports", noReports, "engines report no load");
     CLI11_PARSE(app, argc, argv);
     for (const double load : loads) {
         for (const auto &variant : variants()) {
@@ -101,6 +103,7 @@
                 spec.maxConcurrency = maxConcurrency;
                 spec.duration = seconds(duration);
                 spec.promptTokens = prompt;
+                spec.reports = !noReports;
                 variant.change(spec);
                 print(variant.name, spec, GroupModel(spec).run());
             }
--- a/modules/admission/fair_queue.cpp
+++ b/modules/admission/fair_queue.cpp
@@ -115,13 +115,12 @@
         activate(flow);
 }
 
-std::vector<QueuedAsk> FairQueue::takeExpired(TimePoint now, bool deadlineOnly)
+std::vector<QueuedAsk> FairQueue::takeExpired(TimePoint now)
 {
     std::vector<AttemptKey> keys;
     for (const auto &[order, flow] : m_active) {
         for (const auto &[place, item] : flow->items) {
-            const bool late = !deadlineOnly && item->startBy < now;
-            if (!late && item->deadline > now)
+            if (item->refuseAfter > now)
                 break;
             keys.push_back(item->ask.key);
         }
--- a/modules/admission/fair_queue.h
+++ b/modules/admission/fair_queue.h
@@ -18,8 +18,10 @@
 {
     AskEvent ask;
     TimePoint enqueued{};
-    /** Latest start with which the target is still met. */
+    /** Latest start with which the target is still met; the order inside a workspace. */
     TimePoint startBy{};
+    /** From then on the request is not worth starting. */
+    TimePoint refuseAfter{};
     /** The caller's deadline. */
     TimePoint deadline{};
     /** Expected work in tokens. */
@@ -60,8 +62,8 @@
     /** Charges @p difference more (or less) to @p workspace once the cost of its work is known. */
     void correct(const WorkspaceId &workspace, double weight, double difference);
 
-    /** Removes the first requests of all workspaces whose latest start or deadline has passed. */
-    std::vector<QueuedAsk> takeExpired(TimePoint now, bool deadlineOnly);
+    /** Removes the first requests of all workspaces that are not worth starting any more. */
+    std::vector<QueuedAsk> takeExpired(TimePoint now);
 
     /** Removes the requests that @p node asked for. */
     void removeNode(const NodeId &node);
--- a/modules/admission/tiered_scheduler.cpp
+++ b/modules/admission/tiered_scheduler.cpp
@@ -49,14 +49,19 @@
     if (event.tokensDone > 0) {
         // The caller of a resumed stream waits for its next token now.
         item.startBy = now;
+        item.refuseAfter = item.deadline;
     } else {
         const double p = service.lengths().remaining(kLengthQuantile);
         const auto answer = service.firstToken(0.5) +
                             Duration(static_cast<std::int64_t>(
                                     p * static_cast<double>(service.tokenTime().count())));
-        item.startBy = std::min(now + profile.firstTokenTarget - event.waited -
-                                        service.firstToken(kFirstTokenQuantile),
+        // An estimate from a bad time must not refuse all requests, as then nothing corrects it.
+        const auto firstToken =
+                std::min(service.firstToken(kFirstTokenQuantile), profile.firstTokenTarget / 2);
+        item.startBy = std::min(now + profile.firstTokenTarget - event.waited - firstToken,
                                 item.deadline - answer);
+        const bool mayBeRefused = profile.tier != kOrderTier && m_options.earlyRefusal;
+        item.refuseAfter = mayBeRefused ? item.startBy : item.deadline;
     }
     item.ask = event;
     return item;
@@ -223,9 +228,7 @@
         const QueuedAsk *item = queue(tier).head(n);
         if (item == nullptr)
             return false;
-        const bool tooLate = tier != kOrderTier && m_options.earlyRefusal &&
-                             item->ask.tokensDone == 0 && item->startBy < now;
-        if (tooLate || item->deadline <= now) {
+        if (item->deadline <= now || (item->refuseAfter <= now && !starves(tier, now))) {
             const auto taken = queue(tier).remove(item->ask.key);
             refuse(*taken,
                    taken->deadline <= now ? Reason::DeadlineExceeded : Reason::DeadlineUnreachable,
@@ -320,8 +323,7 @@
     SchedulerActions actions;
     m_stats.ejections += m_upstreams.tick(now);
     for (int tier = 0; tier < kTierCount; ++tier) {
-        const bool deadlineOnly = tier == kOrderTier || !m_options.earlyRefusal;
-        for (const auto &it : queue(tier).takeExpired(now, deadlineOnly)) {
+        for (const auto &it : queue(tier).takeExpired(now)) {
             const bool over = it.deadline <= now;
             refuse(it, over ? Reason::DeadlineExceeded : Reason::DeadlineUnreachable, now, actions);
         }
--- a/modules/admission/tiered_scheduler_grants.cpp
+++ b/modules/admission/tiered_scheduler_grants.cpp
@@ -20,13 +20,6 @@
 // Of the slots expected to be freed in time, this part is counted on before streams are preempted.
 constexpr double kNaturalReleases = 0.5;
 
-double ratioOf(Duration time, Duration target)
-{
-    return target.count() > 0
-                   ? static_cast<double>(time.count()) / static_cast<double>(target.count())
-                   : 0;
-}
-
 } // namespace
 
 void TieredScheduler::learnTokenTime(GrantRecord &record, std::uint32_t tokens, TimePoint now)
@@ -35,7 +28,7 @@
     const auto passed = now - record.progressAt;
     if (more >= kMinTokens && record.sawFirstToken) {
         const Duration tokenTime = passed / more;
-        m_upstreams.observeTime(record.upstream, ratioOf(tokenTime, record.profile->tokenTarget));
+        m_upstreams.observeTokenTime(record.upstream, tokenTime, record.profile->tokenTarget);
         record.sawTokenTime = true;
     }
     if (more >= kMinTokens || !record.sawFirstToken) {
@@ -53,8 +46,8 @@
     if (!record->sawFirstToken && event.firstToken > Duration(0)) {
         record->sawFirstToken = true;
         estimator(*record->profile).observeFirstToken(event.firstToken);
-        m_upstreams.observeTime(record->upstream,
-                                ratioOf(event.firstToken, record->profile->firstTokenTarget));
+        m_upstreams.observeFirstToken(record->upstream, event.firstToken,
+                                      record->profile->firstTokenTarget);
     }
     return {};
 }
@@ -92,13 +85,13 @@
         service.lengths().observeCutOff(length);
     if (event.firstToken > Duration(0) && !record.sawFirstToken) {
         service.observeFirstToken(event.firstToken);
-        m_upstreams.observeTime(i, ratioOf(event.firstToken, record.profile->firstTokenTarget));
+        m_upstreams.observeFirstToken(i, event.firstToken, record.profile->firstTokenTarget);
     }
     if (event.tokens >= kMinTokens && event.duration > event.firstToken) {
         const Duration tokenTime = (event.duration - event.firstToken) / (event.tokens - 1);
         service.observeTokenTime(tokenTime);
         if (!record.sawTokenTime)
-            m_upstreams.observeTime(i, ratioOf(tokenTime, record.profile->tokenTarget));
+            m_upstreams.observeTokenTime(i, tokenTime, record.profile->tokenTarget);
     }
 }
 
--- a/modules/admission/upstream_table.cpp
+++ b/modules/admission/upstream_table.cpp
@@ -16,6 +16,13 @@
 // even when its share of each upstream is less than one.
 constexpr double kLoneShare = 0.5;
 
+double ratioOf(Duration time, Duration target)
+{
+    return target.count() > 0
+                   ? static_cast<double>(time.count()) / static_cast<double>(target.count())
+                   : 0;
+}
+
 } // namespace
 
 UpstreamTable::UpstreamTable(const SchedulerOptions &options)
@@ -158,10 +165,18 @@
     refresh(i, now);
 }
 
-void UpstreamTable::observeTime(std::size_t i, double ratioToTarget)
+void UpstreamTable::observeTokenTime(std::size_t i, Duration tokenTime, Duration target)
+{
+    const double ratio = ratioOf(tokenTime, target);
+    m_entries[i].limiter.observeTokenTime(ratio);
+    m_health.observeTime(i, ratio);
+}
+
+void UpstreamTable::observeFirstToken(std::size_t i, Duration firstToken, Duration target)
 {
-    m_entries[i].limiter.observe(ratioToTarget);
-    m_health.observeTime(i, ratioToTarget);
+    const double ratio = ratioOf(firstToken, target);
+    m_entries[i].limiter.observeFirstToken(ratio);
+    m_health.observeTime(i, ratio);
 }
 
 void UpstreamTable::observeSuccess(std::size_t i)
@@ -203,6 +218,7 @@
     const std::uint32_t reported = event.running + event.queued;
     entry.foreign = reported > own + noise ? reported - own : 0;
     entry.reported = then;
+    entry.limiter.observeQueued(event.queued);
     refresh(*i, now);
 }
 
--- a/modules/admission/upstream_table.h
+++ b/modules/admission/upstream_table.h
@@ -44,8 +44,10 @@
     /** Counts one request less at upstream @p i. */
     void end(std::size_t i, TimePoint now);
 
-    /** Takes a time as a multiple of its target, of a running or ended answer. */
-    void observeTime(std::size_t i, double ratioToTarget);
+    /** Takes a time between tokens, of a running or ended answer. */
+    void observeTokenTime(std::size_t i, Duration tokenTime, Duration target);
+    /** Takes a time from sending to the first token. */
+    void observeFirstToken(std::size_t i, Duration firstToken, Duration target);
     /** Takes an attempt that brought its whole answer. */
     void observeSuccess(std::size_t i);
     /** Takes an attempt that failed at the upstream; @p overload marks a sign of too much load. */
--- a/modules/limits/concurrency_limiter.h
+++ b/modules/limits/concurrency_limiter.h
@@ -8,7 +8,8 @@
 
 /**
  * Finds how many requests one upstream can run at a time: the limit rises by a step while the
- * observed times keep within the targets and is cut by a factor when they don't.
+ * observed times keep within the targets and is cut by a factor when they don't. Near the limit of
+ * the last cut it rises slowly.
  */
 class ConcurrencyLimiter
 {
@@ -19,12 +20,25 @@
     /** Changes the configured bound. */
     void setMaximum(std::uint32_t maximum);
 
-    /** Takes an observed time as a multiple of its target (first token or between tokens). */
-    void observe(double ratioToTarget);
+    /** Takes a time between tokens as a multiple of its target. */
+    void observeTokenTime(double ratioToTarget);
+
+    /**
+     * Takes a time from sending to the first token as a multiple of its target. A large part of the
+     * target shows that requests wait inside the upstream, where refusals no longer reach them, or
+     * that prompts are long; in the second case cuts don't help and are taken back.
+     */
+    void observeFirstToken(double ratioToTarget);
 
     /** Takes a refused or failed request as a sign of overload. */
     void observeOverload() { ++m_overloads; }
 
+    /**
+     * Takes a report of @p queued requests that wait inside the upstream. Only what two reports in
+     * a row show counts, as each request waits there for a moment.
+     */
+    void observeQueued(std::uint32_t queued);
+
     /**
      * Closes the window of observations if it is due.
      *
@@ -36,16 +50,39 @@
     double limit() const { return m_limit; }
 
 private:
-    void cut(double factor, TimePoint now);
+    /** Samples of one kind in the present window. */
+    struct Samples
+    {
+        std::uint32_t count = 0;
+        std::uint32_t late = 0;
+        std::uint32_t near = 0;
+
+        void add(double ratio, double lateRatio, double nearRatio);
+        double lateShare() const { return count > 0 ? double(late) / count : 0; }
+        double nearShare() const { return count > 0 ? double(near) / count : 0; }
+    };
+
+    void cut(double limit, TimePoint now);
+    void cutForFirstToken(TimePoint now);
+    void rise(TimePoint now);
 
     double m_maximum;
     double m_limit;
-    std::uint32_t m_samples = 0;
-    std::uint32_t m_late = 0;
-    double m_ratioSum = 0;
+    Samples m_tokenTimes;
+    Samples m_firstTokens;
     std::uint32_t m_overloads = 0;
+    std::uint32_t m_queued = 0;
+    std::uint32_t m_lastQueued = 0;
+    /** Limit and late share of first tokens before the first of a row of cuts; 0 without one. */
+    double m_limitBefore = 0;
+    double m_lateBefore = 0;
+    TimePoint m_ignoreFirstTokenUntil{};
+    Duration m_ignoreFor{0};
+    /** The limit at the last cut. */
+    double m_ceiling = 0;
     TimePoint m_windowStart{};
     TimePoint m_settled{};
+    TimePoint m_probed{};
 };
 
 } // namespace hawthornslip
