--- a/modules/admission/upstream_table.cpp
+++ b/modules/admission/upstream_table.cpp
@@ -16,6 +16,13 @@
 // even when its share of each upstream is less than one.
 constexpr double kLoneShare = 0.5;
 
+double ratioOf(Duration time, Duration target)
+{
+    return target.count() > 0
+                   ? static_cast<double>(time.count()) / static_cast<double>(target.count())
+                   : 0;
+}
+
 } // namespace
 
 UpstreamTable::UpstreamTable(const SchedulerOptions &options)
@@ -144,6 +151,16 @@
     return best;
 }
 
+void UpstreamTable::addReturning(std::vector<std::size_t> &indices, TimePoint now) const
+{
+    if (!m_ejection || m_returning == 0)
+        return;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        if (m_health.share(i, now) < 1)
+            indices.push_back(i);
+    }
+}
+
 void UpstreamTable::start(std::size_t i, TimePoint now)
 {
     ++m_entries[i].inFlight;
@@ -158,10 +175,18 @@
     refresh(i, now);
 }
 
-void UpstreamTable::observeTime(std::size_t i, double ratioToTarget)
+void UpstreamTable::observeTokenTime(std::size_t i, Duration tokenTime, Duration target)
+{
+    const double ratio = ratioOf(tokenTime, target);
+    m_entries[i].limiter.observeTokenTime(ratio);
+    m_health.observeTime(i, ratio);
+}
+
+void UpstreamTable::observeFirstToken(std::size_t i, Duration firstToken, Duration target)
 {
-    m_entries[i].limiter.observe(ratioToTarget);
-    m_health.observeTime(i, ratioToTarget);
+    const double ratio = ratioOf(firstToken, target);
+    m_entries[i].limiter.observeFirstToken(ratio);
+    m_health.observeTime(i, ratio);
 }
 
 void UpstreamTable::observeSuccess(std::size_t i)
@@ -203,6 +228,7 @@
     const std::uint32_t reported = event.running + event.queued;
     entry.foreign = reported > own + noise ? reported - own : 0;
     entry.reported = then;
+    entry.limiter.observeQueued(event.queued);
     refresh(*i, now);
 }
 
@@ -222,8 +248,11 @@
     }
     m_historyNext = (m_historyNext + 1) % kHistory;
     const std::size_t ejected = m_ejection ? m_health.update(m_accepting, now).size() : 0;
-    for (std::size_t i = 0; i < m_entries.size(); ++i)
+    m_returning = 0;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
         refresh(i, now);
+        m_returning += m_health.share(i, now) < 1 ? 1 : 0;
+    }
     return ejected;
 }
 
