Keep application routes out of placement

The demand of the route app:pickups was taken for a model without a replica, which placement loaded on engines, so calls of the application went to engines. Change: demand counts only for models that a language upstream lists. Figures: without the change the new test sees load orders, with it none. Conclusion: placement moves models only.

--- a/servers/placement/placement_service.cpp
+++ b/servers/placement/placement_service.cpp
@@ -124,16 +124,29 @@
     }
 }
 
+std::set<ModelName> PlacementService::languageModels() const
+{
+    std::set<ModelName> models;
+    for (const auto &it : m_config.current()->upstreams) {
+        if (it.kind == UpstreamKind::Language)
+            models.insert(it.models.begin(), it.models.end());
+    }
+    return models;
+}
+
 std::map<ModelName, double> PlacementService::demandOf(const FailureDomain &domain)
 {
     auto &reports = m_reports[domain];
     std::erase_if(reports, [&](const auto &it) {
         return m_loop.now() - it.second.at > m_options.demandLifetime;
     });
+    const auto known = languageModels();
     std::map<ModelName, double> sum;
     for (const auto &[node, report] : reports) {
-        for (const auto &[model, requests] : report.demand)
-            sum[model] += requests;
+        for (const auto &[model, requests] : report.demand) {
+            if (known.contains(model))
+                sum[model] += requests;
+        }
     }
     return sum;
 }
--- a/servers/placement/placement_service.h
+++ b/servers/placement/placement_service.h
@@ -61,6 +61,8 @@
     void updateWanted();
     void tick();
     void reportDemand();
+    /** @return the models of all engines; the routes of applications cannot be placed. */
+    std::set<ModelName> languageModels() const;
     std::map<ModelName, double> demandOf(const FailureDomain &domain);
     void publish(const FailureDomain &domain, const std::set<UpstreamId> &changed);
     void announce(const FailureDomain &domain, const std::set<UpstreamId> *changed,
--- a/tests/servers/placement/placement_service_test.cpp
+++ b/tests/servers/placement/placement_service_test.cpp
@@ -55,6 +55,7 @@
 {
     CPPUNIT_TEST_SUITE(PlacementServiceTest);
     CPPUNIT_TEST(demandOfAllNodesLoadsModels);
+    CPPUNIT_TEST(applicationRouteIsNeverLoaded);
     CPPUNIT_TEST(pausedHolderIsReplaced);
     CPPUNIT_TEST(outageMovesNothing);
     CPPUNIT_TEST(missedUpdateIsPulled);
@@ -120,6 +121,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders());
     }
 
+    // Guards against calls to an application that go to an engine, because placement took the
+    // route for a model with demand.
+    void applicationRouteIsNeverLoaded()
+    {
+        for (const auto &it : m_nodes)
+            it->demand[{ModelName("app:pickups"), m_domain}] = 20;
+        run(seconds(60));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, orders());
+    }
+
     // Guards against a former holder that orders after it woke, and against a new one that does
     // not wait out earlier orders.
     void pausedHolderIsReplaced()
