--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -47,6 +47,11 @@
 add_executable(bench_runner bench/main.cpp)
 target_link_libraries(bench_runner PRIVATE bench_lib)
 
+# What the request path adds to a direct call.
+file(GLOB bench_path_sources CONFIGURE_DEPENDS bench/path/*.cpp)
+add_executable(bench_path ${bench_path_sources})
+target_link_libraries(bench_path PRIVATE hawthornslip_servers hawthornslip_drivers)
+
 hawthornslip_test_program(drivers standin_lib)
 hawthornslip_test_program(servers hawthornslip_drivers standin_lib)
 hawthornslip_test_program(main standin_lib bench_lib)
