--- a/drivers/zeromq/zeromq_transport.h
+++ b/drivers/zeromq/zeromq_transport.h
@@ -50,7 +50,7 @@
 {
 public:
     explicit ZeromqTransport(PeerSettings settings, TransportLimits limits = {});
-    /** Stops the thread; messages that wait are dropped. */
+    /** Stops the thread as stop() does. */
     ~ZeromqTransport() override;
 
     ZeromqTransport(const ZeromqTransport &) = delete;
@@ -59,7 +59,7 @@
     /** Binds the listening address and starts the thread; fails with a TransportError. */
     boost::leaf::result<void> start();
 
-    /** Closes all connections and ends the thread. */
+    /** Sends what waits, for at most 300 ms, closes all connections and ends the thread. */
     void stop();
 
     /** @return the port that is listened on, which the kernel chose when the setting is 0. */
--- a/drivers/zeromq/zeromq_worker.cpp
+++ b/drivers/zeromq/zeromq_worker.cpp
@@ -28,6 +28,8 @@
 // the same address without closing its connections is connected anew. Costs no traffic, unlike
 // heartbeats of the protocol.
 constexpr int kUnacknowledgedMs = 2000;
+// Bounds how long a stop waits for messages to peers that are slow or gone.
+constexpr int kFlushMs = 300;
 
 // Frames of a request of the ZeroMQ authentication protocol (RFC 27).
 constexpr std::size_t kZapVersion = 0;
@@ -126,6 +128,15 @@
                 logEvent(LogLevel::Warning, "peer_transport_error", {{"error", error.what()}});
         }
     }
+    flush();
+}
+
+void ZeromqTransport::Worker::flush()
+{
+    // The last messages tell the others that this node is gone.
+    runCommands();
+    for (auto &[node, peer] : m_peers)
+        peer.dealer.set(zmq::sockopt::linger, kFlushMs);
 }
 
 void ZeromqTransport::Worker::runCommands()
--- a/drivers/zeromq/zeromq_worker.h
+++ b/drivers/zeromq/zeromq_worker.h
@@ -27,6 +27,8 @@
     void run();
 
 private:
+    void flush();
+
     /** A connection to one peer. */
     struct Peer
     {
--- /dev/null
+++ b/modules/lifecycle/tests/node_lifecycle_test.cpp
@@ -0,0 +1,139 @@
+#include "modules/lifecycle/node_lifecycle.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace hawthornslip {
+
+namespace {
+
+using namespace lifecycle; // NOLINT(google-build-using-namespace)
+
+constexpr auto kNotice = seconds(5);
+
+template <typename Action>
+bool contains(const Actions &actions)
+{
+    return std::any_of(actions.begin(), actions.end(),
+                       [](const auto &it) { return std::holds_alternative<Action>(it); });
+}
+
+NodeId node(int i)
+{
+    return NodeId("10.0.0." + std::to_string(i) + ":7400");
+}
+
+std::vector<NodeId> nodes(int n)
+{
+    std::vector<NodeId> list;
+    for (int i = 1; i <= n; ++i)
+        list.push_back(node(i));
+    return list;
+}
+
+} // namespace
+
+class NodeLifecycleTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NodeLifecycleTest);
+    CPPUNIT_TEST(readyAfterStoreWasRead);
+    CPPUNIT_TEST(notReadyWithRefusedDocument);
+    CPPUNIT_TEST(outageNeedsMajorityAndHighestGeneration);
+    CPPUNIT_TEST(outageCountsOnlyConfiguredCandidates);
+    CPPUNIT_TEST(outageNeedsCandidates);
+    CPPUNIT_TEST(stopLetsRequestsEnd);
+    CPPUNIT_TEST(stopBeforeReadyIsQuick);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a node that takes requests before it knows any configuration.
+    void readyAfterStoreWasRead()
+    {
+        give(GenerationAdopted{3});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Starting);
+        CPPUNIT_ASSERT(contains<PhaseChanged>(give(StoreRead{true})));
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Ready);
+        CPPUNIT_ASSERT(m_lifecycle.takesRequests());
+    }
+
+    void notReadyWithRefusedDocument()
+    {
+        give(StoreRead{true});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Starting);
+        give(GenerationAdopted{1});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Ready);
+    }
+
+    // Guards against a start in an outage on a configuration that others have left behind.
+    void outageNeedsMajorityAndHighestGeneration()
+    {
+        give(CandidatesListed{nodes(8)});
+        give(GenerationAdopted{4});
+        for (int i = 1; i <= 3; ++i)
+            give(GenerationReported{node(i), 4});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Starting);
+        give(GenerationReported{node(4), 5});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Starting);
+        give(GenerationAdopted{5});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Ready);
+    }
+
+    // Guards against a majority of nodes that know as little as this one.
+    void outageCountsOnlyConfiguredCandidates()
+    {
+        give(CandidatesListed{nodes(4)});
+        give(GenerationAdopted{4});
+        give(GenerationReported{node(1), 4});
+        give(GenerationReported{node(2), 0});
+        give(GenerationReported{node(9), 4});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Starting);
+        give(GenerationReported{node(2), 4});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Ready);
+    }
+
+    void outageNeedsCandidates()
+    {
+        give(GenerationAdopted{4});
+        give(GenerationReported{node(1), 4});
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Starting);
+    }
+
+    // Guards against I7: a request that is cut off by a planned stop.
+    void stopLetsRequestsEnd()
+    {
+        give(StoreRead{false});
+        const auto actions = give(StopRequested{});
+        CPPUNIT_ASSERT(contains<AnnounceLeaving>(actions));
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Draining);
+        CPPUNIT_ASSERT(give(StopRequested{}).empty());
+        m_now += kNotice - milliseconds(1);
+        CPPUNIT_ASSERT(give(Tick{0}).empty());
+        CPPUNIT_ASSERT(m_lifecycle.takesRequests());
+        m_now += milliseconds(1);
+        CPPUNIT_ASSERT(contains<RefuseNewRequests>(give(Tick{0})));
+        CPPUNIT_ASSERT(!m_lifecycle.takesRequests());
+        m_now += seconds(3600);
+        CPPUNIT_ASSERT(give(Tick{1}).empty());
+        CPPUNIT_ASSERT(contains<AnnounceStopped>(give(Tick{0})));
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Stopped);
+    }
+
+    void stopBeforeReadyIsQuick()
+    {
+        give(StopRequested{});
+        CPPUNIT_ASSERT(contains<AnnounceStopped>(give(Tick{0})));
+        CPPUNIT_ASSERT(give(StoreRead{false}).empty());
+        CPPUNIT_ASSERT(m_lifecycle.phase() == NodePhase::Stopped);
+    }
+
+private:
+    Actions give(const Event &event) { return m_lifecycle.handle(event, m_now); }
+
+    NodeLifecycle m_lifecycle{kNotice};
+    TimePoint m_now{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeLifecycleTest);
+
+} // namespace hawthornslip
--- a/servers/config/config_service.h
+++ b/servers/config/config_service.h
@@ -98,6 +98,9 @@
     /** @return true once the store answered, with a document or without. Control thread only. */
     bool storeAnswered() const { return m_storeAnswered; }
 
+    /** @return true once the store brought a document. Control thread only. */
+    bool storeHasDocument() const { return m_storeVersion > 0; }
+
     /** @return the generation in force. Control thread only. */
     std::uint64_t generation() const { return m_adopter.generation(); }
 
--- /dev/null
+++ b/servers/lifecycle/lifecycle_service.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "modules/lifecycle/node_lifecycle.h"
+#include "servers/config/config_service.h"
+#include "servers/membership/membership_service.h"
+#include "servers/peer/control_loop.h"
+#include "servers/peer/peer_bus.h"
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+
+namespace hawthornslip {
+
+/** What the lifecycle service asks of its node. */
+struct LifecycleHooks
+{
+    /** @return requests and streams that are not finished; called on the loop's thread. */
+    std::function<std::size_t()> active;
+    /** Called on the loop's thread on each change of the phase; may be empty. */
+    std::function<void(NodePhase)> phaseChanged;
+};
+
+/** The lifecycle of this node, by modules/lifecycle over membership and configuration. */
+class LifecycleService
+{
+public:
+    /**
+     * Registers with @p bus and @p config; all references have to outlive this object, and
+     * @p loop has to be stopped before it is destroyed.
+     */
+    LifecycleService(ControlLoop &loop, PeerBus &bus, MembershipService &membership,
+                     ConfigService &config, Duration balancerNotice, LifecycleHooks hooks);
+
+    /** Starts to watch the state of the node; may be called from any thread. */
+    void start();
+
+    /** Begins an orderly stop, which ends in the phase Stopped; may be called from any thread. */
+    void requestStop();
+
+    /** @return the phase, for `/readyz`; may be called from any thread. */
+    NodePhase phase() const { return m_phase.load(); }
+
+    /** @return true while new requests are taken; may be called from any thread. */
+    bool takesRequests() const { return m_takesRequests.load(); }
+
+private:
+    void tick();
+    void give(const lifecycle::Event &event);
+    void carryOut(const lifecycle::Action &action);
+
+    ControlLoop &m_loop;
+    PeerBus &m_bus;
+    MembershipService &m_membership;
+    ConfigService &m_config;
+    LifecycleHooks m_hooks;
+    NodeLifecycle m_lifecycle;
+    std::atomic<NodePhase> m_phase{NodePhase::Starting};
+    std::atomic<bool> m_takesRequests{false};
+};
+
+} // namespace hawthornslip
--- a/tests/drivers/zeromq_transport_test.cpp
+++ b/tests/drivers/zeromq_transport_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(refusesKeyThatIsNotAllowed);
     CPPUNIT_TEST(reachesPeerWithRotatedKey);
     CPPUNIT_TEST(reachesRestartedPeer);
+    CPPUNIT_TEST(stopSendsWhatWaits);
     CPPUNIT_TEST(dropsWhenPeerIsUnreachable);
     CPPUNIT_TEST(closesOnDisconnectAndWhenIdle);
     CPPUNIT_TEST(boundsOpenConnections);
@@ -179,6 +180,19 @@
         CPPUNIT_ASSERT(b->waitFor("second", [&] { a.transport->send(id, "second"); }));
     }
 
+    // Guards against a last message that is lost because its sender stops.
+    void stopSendsWhatWaits()
+    {
+        const auto keys = newKeys();
+        Endpoint b(keys, {keys.publicKey});
+        for (int i = 0; i < 10; ++i) {
+            Endpoint a(keys, {keys.publicKey});
+            a.transport->send(b.id(), "last " + std::to_string(i));
+            a.transport->stop();
+            CPPUNIT_ASSERT(b.waitFor("last " + std::to_string(i)));
+        }
+    }
+
     // Guards against a sender that blocks or grows without bound towards a dead peer.
     void dropsWhenPeerIsUnreachable()
     {
