--- a/drivers/zeromq/zeromq_transport.cpp
+++ b/drivers/zeromq/zeromq_transport.cpp
@@ -37,7 +37,7 @@
     close(m_wakeFd);
 }
 
-leaf::result<void> ZeromqTransport::start()
+leaf::result<void> ZeromqTransport::bind()
 {
     const auto &keys = m_settings.allowedKeys;
     if (!isValidKey(m_settings.curvePublicKey) || !isValidKey(m_settings.curveSecretKey) ||
@@ -51,6 +51,16 @@
         return leaf::new_error(TransportError::BindFailed);
     }
     m_worker = std::move(worker);
+    return {};
+}
+
+leaf::result<void> ZeromqTransport::start()
+{
+    if (!m_worker) {
+        auto bound = bind();
+        if (!bound)
+            return bound.error();
+    }
     m_stopping = false;
     m_thread = std::thread([this] { m_worker->run(); });
     return {};
--- a/drivers/zeromq/zeromq_transport.h
+++ b/drivers/zeromq/zeromq_transport.h
@@ -56,7 +56,13 @@
     ZeromqTransport(const ZeromqTransport &) = delete;
     ZeromqTransport &operator=(const ZeromqTransport &) = delete;
 
-    /** Binds the listening address and starts the thread; fails with a TransportError. */
+    /**
+     * Binds the listening address, so that port() is known before the receiver is made; fails with
+     * a TransportError.
+     */
+    boost::leaf::result<void> bind();
+
+    /** Starts the thread, after bind() when that was not called; fails with a TransportError. */
     boost::leaf::result<void> start();
 
     /** Sends what waits, for at most 300 ms, closes all connections and ends the thread. */
