--- a/tests/matrix/control_scenario.cpp
+++ b/tests/matrix/control_scenario.cpp
@@ -57,7 +57,7 @@
             const int node = m_requests % MatrixCluster::kNodes;
             const auto tag = "load" + std::to_string(m_requests++);
             const auto &it = m_cluster.node(node);
-            if (it.runs() && !it.stopping)
+            if (it.ready())
                 m_cluster.call(node, {"pickup", tag, "", true, false});
             m_cluster.run(milliseconds(700));
             watchOrders();
@@ -134,7 +134,7 @@
     void checkServed()
     {
         for (int i = 0; i < MatrixCluster::kNodes; ++i) {
-            if (!m_cluster.node(i).runs() || m_cluster.node(i).stopping)
+            if (!m_cluster.node(i).ready())
                 continue;
             const auto tag = "end" + std::to_string(i);
             const auto &it = m_cluster.call(i, {"order", tag, tag, false, true});
--- a/tests/matrix/faults.cpp
+++ b/tests/matrix/faults.cpp
@@ -29,14 +29,17 @@
         m_cluster.crashNode(node);
         break;
     case Fault::NodePause:
+        m_cluster.excuse(kPause);
         m_cluster.pauseNode(node);
         later(kPause, [this, node] { m_cluster.resumeNode(node); });
         break;
     case Fault::LeaseLapsed:
+        m_cluster.excuse(kLongPause);
         m_cluster.pauseNode(node);
         later(kLongPause, [this, node] { m_cluster.resumeNode(node); });
         break;
     case Fault::NodeRestart:
+        m_cluster.excuse(seconds(1));
         m_cluster.crashNode(node);
         later(milliseconds(300), [this, node] { m_cluster.restartNode(node); });
         break;
@@ -79,21 +82,41 @@
         world.store.faults.delayWrites = 1;
         break;
     case Fault::Messages:
+        m_cluster.excuse(kOutage);
         world.network.faults = {0.3, 0.3, 0.4, seconds(1)};
         later(kOutage, [&world] { world.network.faults = {}; });
         break;
     case Fault::OneWayPartition:
+        m_cluster.excuse(kOutage);
         m_cluster.cutNode(node);
         later(kOutage, [this] { m_cluster.healNetwork(); });
         break;
     case Fault::OperatorsRace:
+        race();
+        break;
     case Fault::StaleVmList:
+        // The list names a machine that is gone and leaves out all that are there.
+        world.vms = {{NodeId("gone"), FailureDomain(MatrixCluster::kDomain), false}};
+        later(seconds(15), [this] { m_cluster.listAll(); });
         break;
     }
 }
 
+void FaultInjector::race()
+{
+    for (int i = 0; i < MatrixCluster::kNodes; ++i) {
+        if (!m_cluster.node(i).ready())
+            continue;
+        m_cluster.applyConfig(
+                i, [i](SharedConfig &it) { it.profiles[2].maxTokens = 100U + unsigned(i); },
+                [](const ApplyResultInfo &) {});
+    }
+}
+
 void FaultInjector::heal()
 {
+    m_cluster.listAll();
+    m_cluster.excuse(seconds(3));
     auto &world = m_cluster.world();
     world.store.faults = {};
     m_cluster.healNetwork();
--- a/tests/matrix/faults.h
+++ b/tests/matrix/faults.h
@@ -59,6 +59,7 @@
     void heal();
 
 private:
+    void race();
     void later(Duration span, std::function<void()> task);
 
     MatrixCluster &m_cluster;
--- a/tests/matrix/matrix_checks.cpp
+++ b/tests/matrix/matrix_checks.cpp
@@ -8,7 +8,11 @@
 
 namespace {
 
+// How long an upstream may get new work after it was marked as leaving, and how long a node may
+// take to adopt an accepted configuration. Both count from the end of faults that keep a node from
+// hearing of it.
 constexpr Duration kDrainLimit = seconds(3);
+constexpr Duration kAdoptLimit = seconds(5);
 
 } // namespace
 
@@ -63,6 +67,24 @@
     require(holders <= 1, "orders", "two nodes act as the holder of one lease");
 }
 
+void MatrixCluster::checkConfig()
+{
+    const bool late = m_world.events.now() > std::max(m_acceptedAt, m_excusedUntil) + kAdoptLimit;
+    for (const auto &it : m_nodes) {
+        if (!it->alive())
+            continue;
+        const auto generation = it->config.generation();
+        auto &last = m_inForce[it->incarnation];
+        require(generation >= last, "I8", it->self.value + " went back to an older configuration");
+        last = generation;
+        require(!late || !it->runs() || generation >= m_accepted, "I8",
+                it->self.value + " has not adopted generation " + std::to_string(m_accepted));
+        const auto author = m_authors.find(generation);
+        require(author == m_authors.end() || it->config.current()->author == author->second, "I8",
+                it->self.value + " has a configuration in force that lost");
+    }
+}
+
 void MatrixCluster::checkCallers()
 {
     for (const auto &it : m_nodes) {
--- a/tests/matrix/matrix_cluster.cpp
+++ b/tests/matrix/matrix_cluster.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// How long the members take to notice a dead or a returned node; docs/design.md, section 10.
-constexpr Duration kDetection = seconds(4);
-
 Profile profile(const std::string &name, int tier, bool idempotent)
 {
     Profile it;
@@ -29,17 +26,22 @@
 MatrixCluster::MatrixCluster(std::uint64_t seed)
     : m_world(seed)
     , m_random(seed)
-    , m_config(makeConfig())
 {
     m_world.engines.onRun = [this](const auto &url, const auto &request, const auto &tag) {
         noteRun(url, request, tag);
     };
     m_world.engines.onOrder = [this](const auto &url, const auto &order) { noteOrder(url, order); };
     m_nodes.resize(kNodes);
+    listAll();
     for (int i = 0; i < kNodes; ++i)
         startNode(i);
-    showMembers();
-    run(milliseconds(10));
+    run(milliseconds(100));
+    node(0).config.apply(ConfigDocument::toText(*makeConfig()), [this](const auto &it) {
+        require(it.status == ApplyStatus::Accepted, "start", "the first configuration was refused");
+        accepted(it.generation, it.author);
+    });
+    require(runUntil([this] { return settled(); }, seconds(20)), "start",
+            "the nodes did not become ready");
 }
 
 MatrixCluster::~MatrixCluster()
@@ -51,10 +53,11 @@
     m_callers.clear();
 }
 
-std::shared_ptr<const SharedConfig> MatrixCluster::makeConfig() const
+std::shared_ptr<const SharedConfig> MatrixCluster::makeConfig()
 {
     auto config = std::make_shared<SharedConfig>();
     config->generation = 1;
+    config->author = "first";
     config->profiles = {profile("pickup", 0, true), profile("chat", 1, true),
                         profile("batch", 2, true), profile("order", 0, false)};
     Workspace workspace;
@@ -87,7 +90,7 @@
     if (place)
         m_graveyard.push_back(std::move(place));
     place = std::make_unique<MatrixNode>(m_world, NodeId("n" + std::to_string(n)),
-                                         FailureDomain(kDomain), ++m_lastIncarnation, m_config);
+                                         FailureDomain(kDomain), ++m_lastIncarnation);
     place->stage = [this, n](Stage stage, const RequestId &request) { reached(n, stage, request); };
     place->store.onPut = [this, n](const std::string &key, const std::string &value) {
         if (onPut)
@@ -139,6 +142,7 @@
         }
         checkCallers();
         checkLease();
+        checkConfig();
         finishStops();
         if (done())
             return true;
@@ -182,20 +186,6 @@
     return next;
 }
 
-void MatrixCluster::showMembers()
-{
-    for (int i = 0; i < kNodes; ++i) {
-        std::vector<LiveNode> live;
-        for (int k = 0; k < kNodes; ++k) {
-            const auto &it = node(k);
-            if (it.runs() || k == i)
-                live.push_back({it.self, it.incarnation, it.domain, it.stopping});
-        }
-        if (node(i).runs())
-            node(i).membership.set(live);
-    }
-}
-
 void MatrixCluster::crashNode(int n)
 {
     auto &it = node(n);
@@ -206,7 +196,6 @@
         if (&m_callers[i]->node() == &it)
             m_callers[i]->crash();
     }
-    m_world.events.after(kDetection, [this] { showMembers(); });
 }
 
 void MatrixCluster::restartNode(int n)
@@ -214,7 +203,6 @@
     if (node(n).alive())
         crashNode(n);
     startNode(n);
-    m_world.events.after(milliseconds(500), [this] { showMembers(); });
 }
 
 void MatrixCluster::pauseNode(int n)
@@ -222,7 +210,6 @@
     if (!node(n).runs())
         return;
     node(n).setPaused(true);
-    m_world.events.after(kDetection, [this] { showMembers(); });
 }
 
 void MatrixCluster::resumeNode(int n)
@@ -230,7 +217,6 @@
     if (!node(n).paused())
         return;
     node(n).setPaused(false);
-    m_world.events.after(seconds(1), [this] { showMembers(); });
 }
 
 void MatrixCluster::stopNode(int n)
@@ -238,8 +224,8 @@
     if (!node(n).runs())
         return;
     node(n).stopping = true;
+    node(n).membership.announceLeaving();
     node(n).placement.stop();
-    m_world.events.after(milliseconds(100), [this] { showMembers(); });
 }
 
 void MatrixCluster::cutNode(int n)
@@ -256,15 +242,67 @@
     m_world.network.faults = {};
 }
 
+void MatrixCluster::listAll()
+{
+    m_world.vms.clear();
+    for (int i = 0; i < kNodes; ++i)
+        m_world.vms.push_back({NodeId("n" + std::to_string(i)), FailureDomain(kDomain), false});
+}
+
 void MatrixCluster::drainEngine(int n)
 {
-    auto config = std::make_shared<SharedConfig>(*m_config);
-    config->generation = m_config->generation + 1;
-    config->upstreams[static_cast<std::size_t>(n)].state = UpstreamState::Draining;
-    m_config = config;
-    m_drainedAt[engineUrl(n)] = m_world.events.now();
-    for (const auto &it : m_nodes)
-        it->config.config = m_config;
+    int at = 0;
+    while (at < kNodes - 1 && !node(at).ready())
+        ++at;
+    const auto drain = [n](SharedConfig &config) {
+        config.upstreams[static_cast<std::size_t>(n)].state = UpstreamState::Draining;
+    };
+    applyConfig(at, drain, [this, n](const ApplyResultInfo &it) {
+        if (it.status == ApplyStatus::Accepted)
+            m_drainedAt[engineUrl(n)] = m_world.events.now();
+    });
+}
+
+void MatrixCluster::applyConfig(int n, const std::function<void(SharedConfig &)> &change,
+                                std::function<void(const ApplyResultInfo &)> done)
+{
+    SharedConfig next = *node(n).config.current();
+    ++next.generation;
+    next.author = "operator" + std::to_string(++m_lastOperator);
+    change(next);
+    node(n).config.apply(ConfigDocument::toText(next),
+                         [this, author = next.author, generation = next.generation,
+                          done = std::move(done)](const ApplyResultInfo &it) {
+                             if (it.status == ApplyStatus::Accepted)
+                                 accepted(generation, author);
+                             done(it);
+                         });
+}
+
+void MatrixCluster::accepted(std::uint64_t generation, const std::string &author)
+{
+    const auto [it, isNew] = m_authors.emplace(generation, author);
+    require(isNew || it->second == author, "I8",
+            "two operators were told that generation " + std::to_string(generation) + " is theirs");
+    if (generation <= m_accepted)
+        return;
+    m_accepted = generation;
+    m_acceptedAt = m_world.events.now();
+}
+
+void MatrixCluster::excuse(Duration span)
+{
+    m_excusedUntil = std::max(m_excusedUntil, m_world.events.now() + span);
+}
+
+bool MatrixCluster::settled() const
+{
+    const auto running = static_cast<std::size_t>(std::count_if(
+            m_nodes.begin(), m_nodes.end(), [](const auto &it) { return it->runs(); }));
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &it) {
+        return !it->runs() ||
+               (it->config.generation() > 0 && it->membership.liveNodes().size() == running);
+    });
 }
 
 } // namespace hawthornslip::matrix
--- a/tests/matrix/matrix_cluster.h
+++ b/tests/matrix/matrix_cluster.h
@@ -48,7 +48,7 @@
     /** @return the number of requests that have not ended. */
     int pending() const;
 
-    /** Ends the process of node @p n; the others notice after the detection time. */
+    /** Ends the process of node @p n without a word. */
     void crashNode(int n);
     /** Starts node @p n again under the same address. */
     void restartNode(int n);
@@ -59,14 +59,33 @@
     /** Loses the messages from node @p n to the others, not those to it. */
     void cutNode(int n);
     void healNetwork();
+    /** Makes the platform's list name all VMs again. */
+    void listAll();
 
     static std::string engineUrl(int n) { return "http://engine" + std::to_string(n); }
     static constexpr const char *kApplicationUrl = "http://orders";
     static constexpr const char *kDomain = "d";
 
-    /** Marks engine @p n as leaving in the configuration of all nodes. */
+    /** Marks engine @p n as leaving, through an operator's change of the configuration. */
     void drainEngine(int n);
 
+    /**
+     * Applies the next configuration at node @p n, as an operator does.
+     *
+     * @param change is applied to what is in force at that node.
+     */
+    void applyConfig(int n, const std::function<void(SharedConfig &)> &change,
+                     std::function<void(const ApplyResultInfo &)> done);
+
+    /** @return the highest generation that an operator was told to be accepted. */
+    std::uint64_t acceptedGeneration() const { return m_accepted; }
+
+    /** Tells the checks that times are not kept for @p span from now, because of a fault. */
+    void excuse(Duration span);
+
+    /** @return true when all running nodes are ready and see each other. */
+    bool settled() const;
+
     /** Called when a node writes to the store. */
     std::function<void(int node, const std::string &key, const std::string &value)> onPut;
 
@@ -86,9 +105,10 @@
     int runsOf(const std::string &tag) const;
 
 private:
-    std::shared_ptr<const SharedConfig> makeConfig() const;
+    static std::shared_ptr<const SharedConfig> makeConfig();
     void startNode(int n);
-    void showMembers();
+    void accepted(std::uint64_t generation, const std::string &author);
+    void checkConfig();
     void reached(int n, Stage stage, const RequestId &request);
     bool runDue();
     TimePoint nextEvent(TimePoint end) const;
@@ -101,7 +121,12 @@
 
     MatrixWorld m_world;
     std::mt19937_64 m_random;
-    std::shared_ptr<const SharedConfig> m_config;
+    std::uint64_t m_accepted = 0;
+    TimePoint m_acceptedAt;
+    std::map<std::uint64_t, std::string> m_authors;
+    /** Generation that each process had in force last. */
+    std::map<std::uint64_t, std::uint64_t> m_inForce;
+    TimePoint m_excusedUntil;
     std::vector<std::unique_ptr<MatrixNode>> m_nodes;
     /** Crashed processes; kept because events may still refer to them. */
     std::vector<std::unique_ptr<MatrixNode>> m_graveyard;
@@ -117,6 +142,7 @@
     std::set<std::string> m_toldNotRun;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastIncarnation = 0;
+    int m_lastOperator = 0;
     std::string m_violation;
     /** The request whose thread runs now. */
     MatrixCaller *m_runningCaller = nullptr;
--- a/tests/matrix/matrix_node.cpp
+++ b/tests/matrix/matrix_node.cpp
@@ -13,22 +13,34 @@
     return std::hash<NodeId>()(self) ^ (incarnation * 0x9E3779B97F4A7C15ULL);
 }
 
+MembershipServiceOptions membershipOptions(const FailureDomain &domain)
+{
+    MembershipServiceOptions options;
+    options.domain = domain;
+    options.region = "r";
+    return options;
+}
+
 } // namespace
 
-MatrixNode::MatrixNode(MatrixWorld &world, NodeId id, FailureDomain place, std::uint64_t start,
-                       std::shared_ptr<const SharedConfig> shared)
+MatrixNode::MatrixNode(MatrixWorld &world, NodeId id, FailureDomain place, std::uint64_t start)
     : self(std::move(id))
     , domain(std::move(place))
     , incarnation(start)
     , m_transport(world.network, self)
-    , config(std::move(shared))
     , loop(world.events.clock())
     , bus(loop, m_transport, metrics, self, incarnation)
+    , vmList(world.vms)
     , store(world.store, m_alive)
     , upstreams(world.events, world.engines, m_alive)
+    , membership(loop, bus, m_transport, vmList, metrics, seedOf(self, incarnation),
+                 membershipOptions(domain))
+    , config(loop, bus, membership, store, metrics, world.events.clock(), seedOf(self, incarnation))
     , claims(loop, bus, membership, store, metrics, world.events.clock(), seedOf(self, incarnation))
-    , admission(loop, bus, membership, config, metrics, {domain})
     , placement(loop, bus, membership, store, upstreams, config, metrics, [this] { return demand; })
+    , placedConfig(config, placement)
+    , admission(loop, bus, membership, placedConfig, metrics,
+                {domain, SchedulingPolicy::Hawthornslip})
     , probedClaims(claims, stage)
     , probedAdmission(admission, stage, [this](int tier) { ++preempted[tier]; })
     , answers(kAnswerBytes, seconds(600))
@@ -44,6 +56,8 @@
                         {}})
 {
     admission.start();
+    membership.start();
+    config.start();
     upstreams.onSend = [this](const std::string &request) {
         stage(Stage::Connect, RequestId(request));
     };
--- a/tests/matrix/matrix_node.h
+++ b/tests/matrix/matrix_node.h
@@ -2,13 +2,15 @@
 
 #include "servers/admission/admission_service.h"
 #include "servers/claims/claim_service.h"
+#include "servers/config/config_service.h"
+#include "servers/membership/membership_service.h"
+#include "servers/placement/placed_config_source.h"
 #include "servers/placement/placement_service.h"
 #include "servers/request_path/answer_store.h"
 #include "servers/request_path/request_path.h"
 #include "tests/matrix/probes.h"
 #include "tests/support/counting_metrics.h"
 #include "tests/support/sim_engines.h"
-#include "tests/support/sim_membership.h"
 #include "tests/support/sim_network.h"
 #include "tests/support/sim_store.h"
 
@@ -31,27 +33,29 @@
     test::SimNetwork network;
     test::SimStore store;
     test::SimEngines engines;
+    /** What the platform lists. */
+    std::vector<VmEntry> vms;
 };
 
-/** A node's configuration. */
-class NodeConfig : public ConfigSource
+/** The platform's list of VMs. */
+class MatrixVmList : public VmList
 {
 public:
-    explicit NodeConfig(std::shared_ptr<const SharedConfig> first)
-        : config(std::move(first))
+    explicit MatrixVmList(const std::vector<VmEntry> &entries)
+        : m_entries(entries)
     {}
 
-    std::shared_ptr<const SharedConfig> current() const override { return config; }
+    void fetch(Callback done) override { done(m_entries); }
 
-    std::shared_ptr<const SharedConfig> config;
+private:
+    const std::vector<VmEntry> &m_entries;
 };
 
 /** One process: the services of the daemon over the fakes. */
 class MatrixNode
 {
 public:
-    MatrixNode(MatrixWorld &world, NodeId self, FailureDomain domain, std::uint64_t incarnation,
-               std::shared_ptr<const SharedConfig> config);
+    MatrixNode(MatrixWorld &world, NodeId self, FailureDomain domain, std::uint64_t incarnation);
     ~MatrixNode();
 
     MatrixNode(const MatrixNode &) = delete;
@@ -63,6 +67,9 @@
     /** Stops or continues the process; what comes in meanwhile waits. */
     void setPaused(bool paused);
 
+    /** @return true once the node takes requests. */
+    bool ready() const { return runs() && !stopping && config.generation() > 0; }
+
     bool alive() const { return *m_alive; }
     bool paused() const { return m_paused; }
     bool runs() const { return alive() && !m_paused; }
@@ -86,15 +93,17 @@
 
 public:
     test::CountingMetrics metrics;
-    NodeConfig config;
     ControlLoop loop;
     PeerBus bus;
-    test::SimMembership membership;
+    MatrixVmList vmList;
     test::SimStoreClient store;
     test::SimUpstreamClient upstreams;
+    MembershipService membership;
+    ConfigService config;
     ClaimService claims;
-    AdmissionService admission;
     PlacementService placement;
+    PlacedConfigSource placedConfig;
+    AdmissionService admission;
     ProbedClaims probedClaims;
     ProbedAdmission probedAdmission;
     OpenRates rates;
--- a/tests/matrix/scenario.cpp
+++ b/tests/matrix/scenario.cpp
@@ -130,9 +130,7 @@
 
     const MatrixCaller *repeatOn(int node)
     {
-        const auto runs = [&](int n) {
-            return m_cluster.node(n).runs() && !m_cluster.node(n).stopping;
-        };
+        const auto runs = [&](int n) { return m_cluster.node(n).ready(); };
         for (int i = 0; i < MatrixCluster::kNodes && !runs(node); ++i)
             node = (node + 1) % MatrixCluster::kNodes;
         if (!runs(node))
@@ -148,7 +146,7 @@
     void checkServed()
     {
         for (int i = 0; i < MatrixCluster::kNodes; ++i) {
-            if (!m_cluster.node(i).runs() || m_cluster.node(i).stopping)
+            if (!m_cluster.node(i).ready())
                 continue;
             const auto tag = "last" + std::to_string(i);
             for (const auto *profile : {"pickup", "chat", "batch"})
--- a/tests/support/sim_store.h
+++ b/tests/support/sim_store.h
@@ -104,32 +104,53 @@
     {
         if (refuse(way, answer))
             return;
-        poll(key, after, m_events.now() + wait, std::move(answer));
+        const auto it = objects.find(key);
+        if (it != objects.end() && it->second.version > after) {
+            ++countOf(key).reads;
+            m_events.after(delay(way), [answer, object = it->second] {
+                answer({StoreError::None, object});
+            });
+            return;
+        }
+        const auto id = ++m_lastWatch;
+        m_watches[id] = {key, after, std::move(answer)};
+        m_events.after(wait, [this, id] { endWatch(id); });
     }
 
 private:
-    // Watches look at the object each 5 ms of virtual time.
-    static constexpr Duration kPoll = milliseconds(5);
+    struct Watch
+    {
+        std::string key;
+        std::uint64_t after = 0;
+        ObjectStore::Callback answer;
+    };
 
-    void poll(const std::string &key, std::uint64_t after, TimePoint deadline,
-              ObjectStore::Callback answer)
+    void endWatch(std::uint64_t id)
     {
-        // An outage ends the watches that wait.
-        if (faults.down) {
-            answer({StoreError::Unavailable, {}});
+        const auto watch = m_watches.find(id);
+        if (watch == m_watches.end())
             return;
-        }
-        const auto it = objects.find(key);
-        const bool newer = it != objects.end() && it->second.version > after;
-        if (newer || m_events.now() >= deadline) {
-            ++countOf(key).reads;
-            answer(it == objects.end() ? StoreResult{StoreError::NotFound, {}}
-                                       : StoreResult{StoreError::None, it->second});
+        const auto done = std::move(watch->second);
+        m_watches.erase(watch);
+        ++countOf(done.key).reads;
+        const auto it = objects.find(done.key);
+        if (faults.down || faults.silent)
+            done.answer({StoreError::Unavailable, {}});
+        else if (it == objects.end())
+            done.answer({StoreError::NotFound, {}});
+        else
+            done.answer({StoreError::None, it->second});
+    }
+
+    void answerWatches(const std::string &key)
+    {
+        // A store that is out tells nobody of a change.
+        if (faults.down || faults.silent)
             return;
+        for (const auto &[id, watch] : m_watches) {
+            if (watch.key == key)
+                m_events.after(faults.latency / 2, [this, id = id] { endWatch(id); });
         }
-        m_events.after(kPoll, [this, key, after, deadline, answer = std::move(answer)]() mutable {
-            poll(key, after, deadline, std::move(answer));
-        });
     }
 
     bool isSilent(const StoreFaults &way) const { return way.silent || faults.silent; }
@@ -171,6 +192,7 @@
             return {StoreError::Conflict, {}};
         }
         objects[key] = {value, ++m_lastVersion};
+        answerWatches(key);
         return {StoreError::None, {"", m_lastVersion}};
     }
 
@@ -178,6 +200,8 @@
 
     SimEvents &m_events;
     std::uint64_t m_lastVersion = 0;
+    std::uint64_t m_lastWatch = 0;
+    std::map<std::uint64_t, Watch> m_watches;
 };
 
 /** One node's way to the store. Callbacks of a node that crashed are dropped. */
