Configure the model that the fault matrix asks placement for

Cause: placement only moves models that the configuration names.

Change: one engine of the matrix names a second model, and demand for it makes placement load it on the others.

--- a/tests/matrix/matrix_cluster.cpp
+++ b/tests/matrix/matrix_cluster.cpp
@@ -70,6 +70,9 @@
         it.url = engineUrl(i);
         it.domain = FailureDomain(kDomain);
         it.models = {ModelName("m")};
+        // Placement has to load model x on the other engines when there is demand for it.
+        if (i == 0)
+            it.models.emplace_back("x");
         it.checksFencing = i != 1;
         it.maxConcurrency = 4;
         config->upstreams.push_back(it);
