Name the status of error answers without a code in load reports

Cause: an upstream's own error answer showed as unnamed, which hid that orders reached an engine.

Change: the reason is the status; progress is reported once a second while the last answers come in.

--- a/servers/load_generator/answer_checker.cpp
+++ b/servers/load_generator/answer_checker.cpp
@@ -115,7 +115,7 @@
 
 void AnswerChecker::takeError(const std::string &code, const std::string &execution)
 {
-    m_errorCode = code.empty() ? "unnamed" : code;
+    m_errorCode = code.empty() ? kUnnamedError : code;
     m_errorExecution = execution;
 }
 
--- a/servers/load_generator/answer_checker.h
+++ b/servers/load_generator/answer_checker.h
@@ -23,6 +23,9 @@
 class AnswerChecker
 {
 public:
+    /** Code of an error answer that names none. */
+    static constexpr const char *kUnnamedError = "unnamed";
+
     /**
      * @param streamed whether server-sent events are expected.
      * @param marker the mark that an application's answer has to repeat; empty for a language
--- a/servers/load_generator/load_generator.cpp
+++ b/servers/load_generator/load_generator.cpp
@@ -62,6 +62,9 @@
         m_outcome.requestId = m_checker.requestId();
         m_outcome.faults = m_checker.faults();
         m_outcome.reason = m_checker.errorCode();
+        // An upstream's own error answer has no code of the router.
+        if (m_outcome.reason == AnswerChecker::kUnnamedError)
+            m_outcome.reason = "status_" + std::to_string(m_outcome.status);
         m_outcome.execution = m_checker.errorExecution();
         if (m_outcome.execution.empty())
             m_outcome.execution = m_execution;
@@ -137,14 +140,20 @@
 void LoadGenerator::waitUntil(TimePoint time, const std::function<void(Duration)> &onProgress)
 {
     for (auto now = m_clock.now(); now < time; now = m_clock.now()) {
-        if (onProgress && now - m_start >= m_lastProgress + kProgressInterval) {
-            m_lastProgress = now - m_start;
-            onProgress(m_lastProgress);
-        }
+        showProgress(onProgress);
         std::this_thread::sleep_for(std::min<Duration>(time - now, kProgressInterval));
     }
 }
 
+void LoadGenerator::showProgress(const std::function<void(Duration)> &onProgress)
+{
+    const auto since = m_clock.now() - m_start;
+    if (!onProgress || since < m_lastProgress + kProgressInterval)
+        return;
+    m_lastProgress = since;
+    onProgress(since);
+}
+
 bool LoadGenerator::waitForAll(const std::function<void(Duration)> &onProgress)
 {
     Duration patience = kEndSlack;
@@ -154,8 +163,9 @@
     std::unique_lock lock(m_mutex);
     while (m_ended < m_plan.size() && m_clock.now() < end) {
         m_changed.wait_for(lock, kProgressInterval);
-        if (onProgress)
-            onProgress(m_clock.now() - m_start);
+        lock.unlock();
+        showProgress(onProgress);
+        lock.lock();
     }
     return m_ended == m_plan.size();
 }
--- a/servers/load_generator/load_generator.h
+++ b/servers/load_generator/load_generator.h
@@ -53,6 +53,7 @@
     /** Repeats a request whose connection was not made. @return false when it has no node left. */
     void retryElsewhere(std::size_t index, std::size_t node, int attempt);
     void waitUntil(TimePoint time, const std::function<void(Duration)> &onProgress);
+    void showProgress(const std::function<void(Duration)> &onProgress);
     bool waitForAll(const std::function<void(Duration)> &onProgress);
     void judge(std::size_t index, LoadOutcome &outcome) const;
 
