Let a late tier-0 request use a returning upstream

The limit of a new owner rose by one in half a second, too slowly for a burst of seconds. Change: tier 0 avoids returning upstreams only while it can wait; limits rise by 15% a window until the first cut.

--- a/modules/admission/tests/tiered_scheduler_test.cpp
+++ b/modules/admission/tests/tiered_scheduler_test.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(starvingTierIsServed);
     CPPUNIT_TEST(workspacesShareByWeight);
     CPPUNIT_TEST(drainedUpstreamGetsNothingNew);
+    CPPUNIT_TEST(lateOrderTierUsesReturningUpstream);
+    CPPUNIT_TEST(badTimesDoNotRefuseForEver);
+    CPPUNIT_TEST(resumedStreamIsNotRefusedForItsTarget);
     CPPUNIT_TEST(reportRestoresAndFreesGrants);
     CPPUNIT_TEST(lateReportDoesNotBringBackAReleasedGrant);
     CPPUNIT_TEST(lostNodeFreesItsSlots);
@@ -236,6 +239,57 @@
         CPPUNIT_ASSERT(refusals.at(0).reason == Reason::NoUpstream);
     }
 
+    // Guards against lower tiers that get the slots of a returning upstream while tier 0 is late.
+    void lateOrderTierUsesReturningUpstream()
+    {
+        auto scheduler = make(2, 1);
+        for (int i = 0; i < 3; ++i) {
+            auto ask = makeAsk("f" + std::to_string(i), 1);
+            ask.excluded = {UpstreamId("u1")};
+            ReleaseEvent failed{granted(*scheduler, ask)};
+            failed.result = ReleaseResult::ConnectFailed;
+            scheduler->onRelease(failed, m_now);
+        }
+        scheduler->onTick(m_now);
+        CPPUNIT_ASSERT_EQUAL(1U, scheduler->load(m_now).limit);
+        granted(*scheduler, makeAsk("a", 0));
+        CPPUNIT_ASSERT(scheduler->onAsk(makeAsk("b", 0), m_now).empty());
+        scheduler->onAsk(makeAsk("c", 1), m_now);
+        m_now += milliseconds(5100);
+        const auto grants = only<GrantAction>(scheduler->onTick(m_now));
+        CPPUNIT_ASSERT_EQUAL(RequestId("b"), grants.at(0).key.request);
+        CPPUNIT_ASSERT_EQUAL(UpstreamId("u0"), grants.at(0).upstream);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, scheduler->stats().orderTierViolations);
+    }
+
+    // Guards against estimates of a bad time that refuse all requests of a profile from then on.
+    void badTimesDoNotRefuseForEver()
+    {
+        auto scheduler = make(1, 2);
+        for (int i = 0; i < 50; ++i) {
+            const auto grant = granted(*scheduler, makeAsk(std::to_string(i), 1));
+            m_now += seconds(10);
+            ReleaseEvent slow = makeRelease(grant);
+            slow.firstToken = seconds(4);
+            scheduler->onRelease(slow, m_now);
+        }
+        granted(*scheduler, makeAsk("next", 1));
+    }
+
+    // Guards against throwing away an answer that the caller has half of.
+    void resumedStreamIsNotRefusedForItsTarget()
+    {
+        auto scheduler = make(1, 1);
+        granted(*scheduler, makeAsk("a", 0));
+        auto resumed = makeAsk("b", 2);
+        resumed.tokensDone = 50;
+        resumed.waited = seconds(20);
+        CPPUNIT_ASSERT(scheduler->onAsk(resumed, m_now).empty());
+        m_now += seconds(10);
+        CPPUNIT_ASSERT(scheduler->onTick(m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(1U, scheduler->load(m_now).queued[2]);
+    }
+
     // Guards against a new owner that overloads upstreams, and against slots lost with a message.
     void reportRestoresAndFreesGrants()
     {
--- a/modules/admission/tiered_scheduler.cpp
+++ b/modules/admission/tiered_scheduler.cpp
@@ -240,8 +240,8 @@
             if (const auto i = m_upstreams.find(it))
                 excluded.push_back(*i);
         }
-        // Lower tiers find out whether a returning upstream is well again.
-        if (tier == kOrderTier)
+        // Lower tiers find out whether a returning upstream is well again, unless tier 0 is late.
+        if (tier == kOrderTier && orderTierCanWait(now))
             m_upstreams.addReturning(excluded, now);
         if (const auto upstream = m_upstreams.pick(item->affinity, excluded)) {
             grant(tier, item->ask.key, *upstream, now, actions);
--- a/modules/limits/concurrency_limiter.cpp
+++ b/modules/limits/concurrency_limiter.cpp
@@ -26,6 +26,8 @@
 constexpr double kCut = 0.9;
 constexpr double kOverloadCut = 0.7;
 constexpr double kRiseShare = 0.03;
+// Until the first cut the limit is only a guess; a new owner must find it within a burst.
+constexpr double kFirstRiseShare = 0.15;
 constexpr double kUsedShare = 0.85;
 // Above this share of the last cut's limit, one more request is tried at this interval.
 constexpr double kCeilingShare = 0.93;
@@ -79,7 +81,8 @@
 
 void ConcurrencyLimiter::rise(TimePoint now)
 {
-    const double step = std::max(1.0, kRiseShare * m_limit);
+    const bool neverCut = m_ceiling > m_maximum;
+    const double step = std::max(1.0, (neverCut ? kFirstRiseShare : kRiseShare) * m_limit);
     if (m_limit + step <= kCeilingShare * m_ceiling) {
         m_limit += step;
     } else if (now - m_probed >= kProbeInterval) {
--- a/modules/limits/tests/limits_test.cpp
+++ b/modules/limits/tests/limits_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(limitSettlesWhereTargetIsMet);
     CPPUNIT_TEST(limitDoesNotRiseUnused);
     CPPUNIT_TEST(overloadCutsLimit);
+    CPPUNIT_TEST(longPromptsDoNotShrinkLimit);
+    CPPUNIT_TEST(hiddenQueueCutsLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr TimePoint kStart{seconds(1000)};
@@ -88,6 +90,42 @@
         CPPUNIT_ASSERT_EQUAL(100.0, limiter.limit());
     }
 
+    // Guards against a limit that falls to 1 because prompts are long whatever runs beside them.
+    void longPromptsDoNotShrinkLimit()
+    {
+        ConcurrencyLimiter limiter(64);
+        TimePoint now = kStart;
+        double sum = 0;
+        constexpr int kSteps = 12000;
+        for (int step = 0; step < kSteps; ++step) {
+            now += milliseconds(50);
+            limiter.observeFirstToken(0.8);
+            limiter.update(static_cast<std::uint32_t>(limiter.limit()), now);
+            sum += limiter.limit();
+        }
+        CPPUNIT_ASSERT(sum / kSteps > 28);
+    }
+
+    // Guards against requests that wait inside an engine with fewer slots than are configured.
+    void hiddenQueueCutsLimit()
+    {
+        ConcurrencyLimiter limiter(64);
+        TimePoint now = kStart;
+        double highest = 0;
+        for (int step = 0; step < 4000; ++step) {
+            now += milliseconds(50);
+            const auto inFlight = static_cast<std::uint32_t>(limiter.limit());
+            limiter.observeFirstToken(0.05);
+            if (step % 20 == 0)
+                limiter.observeQueued(inFlight > 24 ? inFlight - 24 : 0);
+            limiter.update(inFlight, now);
+            if (step > 1000)
+                highest = std::max(highest, limiter.limit());
+        }
+        CPPUNIT_ASSERT(highest < 27);
+        CPPUNIT_ASSERT(limiter.limit() > 20);
+    }
+
     // Guards against more requests for an upstream that refuses them.
     void overloadCutsLimit()
     {
