Run the node by its lifecycle and take candidates from the VM list

Cause: the node decided on readiness by itself and was ready without the highest generation of its peers when the store was out; the VM list was not read. Change: LifecycleService decides on readiness and on the steps of a stop; HttpVmList or the seeds name the candidates; outcomes of claims get 5 s after the last request.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -4,6 +4,7 @@
 #include "core/metric_names.h"
 #include "drivers/object_store/http_object_store.h"
 #include "drivers/object_store/memory_object_store.h"
+#include "drivers/vm_list/http_vm_list.h"
 
 #include <fmt/format.h>
 #include <sodium.h>
@@ -19,6 +20,7 @@
 constexpr auto kDrainPoll = std::chrono::milliseconds(20);
 // An outcome that the store does not take in this time is answered as unknown after a restart.
 constexpr Duration kOutcomeGrace = seconds(5);
+constexpr Duration kInitialConfigInterval = milliseconds(250);
 constexpr Duration kHousekeepingInterval = seconds(1);
 
 NodeId nodeIdOf(const ListenAddress &address)
@@ -42,13 +44,6 @@
     return seed;
 }
 
-/** Names no candidates besides the seeds. */
-class EmptyVmList : public VmList
-{
-public:
-    void fetch(Callback done) override { done(std::vector<VmEntry>{}); }
-};
-
 std::unique_ptr<ObjectStore> makeStore(const PlatformSettings &settings, UpstreamClient &client,
                                        Metrics &metrics)
 {
@@ -73,7 +68,7 @@
     , m_incarnation(newIncarnation(m_clock))
     , m_loop(m_clock)
     , m_store(makeStore(settings.platform, m_platformClient, m_metrics))
-    , m_vmList(makeVmList(settings.platform, m_platformClient))
+    , m_vmList(makeVmList(settings, m_platformClient))
     , m_transport(settings.peer)
     , m_bus(m_loop, m_transport, m_metrics, nodeIdOf(settings.peer.listen), m_incarnation)
     , m_membership(m_loop, m_bus, m_transport, *m_vmList, m_metrics, newSeed(),
@@ -88,11 +83,14 @@
     , m_answers(PathSettings{}.storedAnswerBytes, PathSettings{}.storedAnswerTime)
     , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, m_upstreamClient,
                           m_retries, m_rates, m_answers, pathSettings(settings.caller)})
-    , m_caller(m_path, {[this] { return ready(); }, [this] { return m_metrics.serialize(); }})
+    , m_caller(m_path, {[this] { return m_lifecycle.phase() == NodePhase::Ready; },
+                        [this] { return m_metrics.serialize(); }})
     , m_callerServer(callerServer(settings.caller))
     , m_operatorServer(operatorServer(settings.operators))
     , m_operatorBackend(m_loop, m_config, m_membership, m_bus.self(), [this] { return facts(); })
     , m_operators(m_operatorServer, m_operatorBackend, settings.operators.keyHashes)
+    , m_lifecycle(m_loop, m_bus, m_membership, m_config, settings.stop.balancerNotice,
+                  {[this] { return activeWork(); }, {}})
 {
     m_caller.registerRoutes(m_callerServer);
     m_config.setStatusProvider([this] {
@@ -143,22 +141,20 @@
     return options;
 }
 
-std::unique_ptr<VmList> Node::makeVmList(const PlatformSettings & /*settings*/,
-                                         UpstreamClient & /*client*/)
+std::unique_ptr<VmList> Node::makeVmList(const Settings &settings, UpstreamClient &client)
 {
-    return std::make_unique<EmptyVmList>();
+    if (settings.platform.vmListUrl.empty())
+        return std::make_unique<StaticVmList>(settings.peer.seeds);
+    return std::make_unique<HttpVmList>(client, settings.platform.vmListUrl,
+                                        settings.platform.storeTimeout);
 }
 
 bool Node::start()
 {
     m_loop.start();
     m_started = true;
-    const bool bound = boost::leaf::try_handle_all(
-            [this]() -> boost::leaf::result<bool> {
-                BOOST_LEAF_CHECK(m_transport.start());
-                return true;
-            },
-            [] { return false; });
+    bool bound = true;
+    boost::leaf::try_handle_all([this] { return m_transport.start(); }, [&] { bound = false; });
     if (!bound) {
         logEvent(LogLevel::Error, "peer_listen_failed", {{"address", id().value}});
         return false;
@@ -166,6 +162,7 @@
     m_loop.run([this] { m_admission.start(); });
     m_membership.start();
     m_config.start();
+    m_lifecycle.start();
     scheduleHousekeeping();
     return startListeners();
 }
@@ -187,25 +184,20 @@
 
 void Node::scheduleHousekeeping()
 {
-    m_loop.every(milliseconds(50), [this] { checkReady(); });
+    m_loop.every(kInitialConfigInterval, [this] { offerInitialConfig(); });
     m_loop.every(kHousekeepingInterval, [this] {
         m_metrics.gauge(metric::kInFlight, {}, static_cast<double>(m_caller.inFlight()));
     });
 }
 
-void Node::checkReady()
+void Node::offerInitialConfig()
 {
-    if (m_ready || m_draining)
+    const bool wanted = m_config.storeAnswered() && !m_config.storeHasDocument() &&
+                        m_config.generation() == 0 && !m_settings.initialConfigFile.empty();
+    if (!wanted || m_initialOffered)
         return;
-    if (m_config.generation() > 0) {
-        m_ready = true;
-        logEvent(LogLevel::Info, "node_ready", {{"generation", m_config.generation()}});
-        return;
-    }
-    if (m_config.storeAnswered() && !m_settings.initialConfigFile.empty() && !m_initialOffered) {
-        m_initialOffered = true;
-        applyInitialConfig();
-    }
+    m_initialOffered = true;
+    applyInitialConfig();
 }
 
 void Node::applyInitialConfig()
@@ -225,43 +217,38 @@
 
 NodeOperatorBackend::Facts Node::facts() const
 {
-    const char *phase = m_draining ? "draining" : (m_ready ? "ready" : "starting");
-    return {phase, m_caller.inFlight()};
+    return {std::string(nameOf(kNodePhaseNames, m_lifecycle.phase())), m_caller.inFlight()};
+}
+
+std::size_t Node::activeWork()
+{
+    const std::size_t requests = m_caller.inFlight() + m_callerServer.activeRequests();
+    if (requests > 0 || m_lifecycle.phase() != NodePhase::Draining) {
+        m_idleSince.reset();
+        return requests;
+    }
+    if (!m_idleSince)
+        m_idleSince = m_clock.now();
+    const bool waitForOutcomes = m_clock.now() - *m_idleSince < kOutcomeGrace;
+    return waitForOutcomes ? m_claims.heldCount() : 0;
 }
 
 void Node::stop()
 {
-    m_draining = true;
-    m_ready = false;
-    logEvent(LogLevel::Info, "node_draining", {{"streams", m_caller.inFlight()}});
-    m_membership.announceLeaving();
-    // The balancer goes on sending until it has seen the failed readiness check.
-    std::this_thread::sleep_for(m_settings.stop.balancerNotice);
+    m_lifecycle.requestStop();
+    // Requests are taken until the balancer has had time to see the failed readiness check.
+    while (m_lifecycle.phase() < NodePhase::Draining || m_lifecycle.takesRequests())
+        std::this_thread::sleep_for(kDrainPoll);
     m_caller.setDraining(true);
     m_callerServer.stopAccepting();
-    while (m_caller.inFlight() > 0 || m_callerServer.activeRequests() > 0)
+    while (m_lifecycle.phase() != NodePhase::Stopped)
         std::this_thread::sleep_for(kDrainPoll);
-    waitForOutcomes();
     m_callerServer.stop(Duration{0});
     m_operatorServer.stop(Duration{0});
     m_loop.run([this] { m_placement.stop(); });
-    m_membership.announceStopped();
-    // Lets the last messages leave the queue of the control thread.
-    m_loop.run([] {});
     m_loop.stop();
     m_transport.stop();
     m_started = false;
 }
 
-void Node::waitForOutcomes()
-{
-    const TimePoint deadline = m_clock.now() + kOutcomeGrace;
-    std::size_t held = 1;
-    while (held > 0 && m_clock.now() < deadline) {
-        m_loop.run([&] { held = m_claims.heldCount(); });
-        if (held > 0)
-            std::this_thread::sleep_for(kDrainPoll);
-    }
-}
-
 } // namespace hawthornslip
--- a/main/node.h
+++ b/main/node.h
@@ -11,6 +11,7 @@
 #include "servers/caller/caller_service.h"
 #include "servers/claims/claim_service.h"
 #include "servers/config/config_service.h"
+#include "servers/lifecycle/lifecycle_service.h"
 #include "servers/membership/membership_service.h"
 #include "servers/operator/operator_service.h"
 #include "servers/peer/control_loop.h"
@@ -21,8 +22,8 @@
 #include "servers/request_path/request_path.h"
 #include "servers/request_path/shared_rate_limiter.h"
 
-#include <atomic>
 #include <memory>
+#include <optional>
 
 namespace hawthornslip {
 
@@ -50,14 +51,13 @@
     static HttpServerSettings callerServer(const CallerSettings &settings);
     static HttpServerSettings operatorServer(const OperatorSettings &settings);
     static MembershipServiceOptions membershipOptions(const Settings &settings);
-    static std::unique_ptr<VmList> makeVmList(const PlatformSettings &settings,
-                                              UpstreamClient &client);
+    static std::unique_ptr<VmList> makeVmList(const Settings &settings, UpstreamClient &client);
     bool startListeners();
     void scheduleHousekeeping();
     void applyInitialConfig();
-    bool ready() const { return m_ready.load(); }
-    void checkReady();
-    void waitForOutcomes();
+    void offerInitialConfig();
+    /** @return requests in progress, and claims whose outcome may still be stored in time. */
+    std::size_t activeWork();
     NodeOperatorBackend::Facts facts() const;
 
     const Settings m_settings;
@@ -87,8 +87,9 @@
     UlfiusHttpServer m_operatorServer;
     NodeOperatorBackend m_operatorBackend;
     OperatorService m_operators;
-    std::atomic<bool> m_ready{false};
-    std::atomic<bool> m_draining{false};
+    LifecycleService m_lifecycle;
+    /** Since when no request is in progress, while the node stops; control thread only. */
+    std::optional<TimePoint> m_idleSince;
     /** Whether the initial configuration was offered; control thread only. */
     bool m_initialOffered = false;
     bool m_started = false;
