Stop listening at once when the listener takes no new connections

Cause: on a busy machine the test of the planned stop failed once: a connection was still accepted, because the listener's thread polled the closed socket and so kept it open.

Change: the socket is shut down before it is closed.

--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -366,8 +366,11 @@
     if (!m_running || !m_accepting.exchange(false))
         return;
     const int socket = MHD_quiesce_daemon(m_instance->mhd_daemon);
-    if (socket != MHD_INVALID_SOCKET)
+    if (socket != MHD_INVALID_SOCKET) {
+        // The listener's thread may still poll the socket, which would keep it open after close().
+        shutdown(socket, SHUT_RDWR);
         close(socket);
+    }
     m_listenSocket = -1;
 }
 
