Tell callers that a node has no configuration, and report requests in flight

Cause: a starting node refused every key as wrong, and the gauge of requests in flight was never set.

Change: without a configuration the answer is 503 not_ready. The caller service sets the gauge.

Conclusion: covered by the test of refused keys.

--- a/servers/caller/caller_service.cpp
+++ b/servers/caller/caller_service.cpp
@@ -25,18 +25,22 @@
 class InFlight
 {
 public:
-    explicit InFlight(std::shared_ptr<std::atomic<std::size_t>> counter)
+    InFlight(std::shared_ptr<std::atomic<std::size_t>> counter, Metrics &metrics)
         : m_counter(std::move(counter))
+        , m_metrics(metrics)
     {
-        ++*m_counter;
+        report(++*m_counter);
     }
-    ~InFlight() { --*m_counter; }
+    ~InFlight() { report(--*m_counter); }
 
     InFlight(const InFlight &) = delete;
     InFlight &operator=(const InFlight &) = delete;
 
 private:
+    void report(std::size_t n) { m_metrics.gauge(metric::kInFlight, {}, static_cast<double>(n)); }
+
     std::shared_ptr<std::atomic<std::size_t>> m_counter;
+    Metrics &m_metrics;
 };
 
 /** A streamed answer that counts as in flight until it ends. */
@@ -123,7 +127,7 @@
 
 HttpAnswer CallerService::handle(RouteKind route, HttpRequest request, const Link &client) const
 {
-    auto inFlight = std::make_unique<InFlight>(m_inFlight);
+    auto inFlight = std::make_unique<InFlight>(m_inFlight, m_path.services().metrics);
     // Looked at after the request was counted, so that a stop that saw no request in flight after
     // it began to refuse cannot miss one.
     if (m_draining)
--- a/servers/request_path/authenticate_filter.cpp
+++ b/servers/request_path/authenticate_filter.cpp
@@ -10,6 +10,11 @@
 boost::leaf::result<void> AuthenticateFilter::process(RequestContext &context)
 {
     context.config = m_services.config.current();
+    // Without a configuration every key would be refused as wrong.
+    if (context.config->generation == 0 && context.config->workspaces.empty())
+        return boost::leaf::new_error(RequestError{Reason::NotReady, Execution::NotRun,
+                                                   "the node has no configuration yet",
+                                                   seconds(1)});
     const auto *header = context.http.header("authorization");
     const auto key = header == nullptr ? std::string_view() : KeyHasher::bearerKey(*header);
     if (!key.empty())
--- a/tests/servers/request_path/bad_input_test.cpp
+++ b/tests/servers/request_path/bad_input_test.cpp
@@ -33,6 +33,9 @@
             it.key = key;
             assertRefused(it, it.language("chat", false), 401, "unauthenticated");
         }
+        PathFixture starting;
+        starting.config.config = std::make_shared<SharedConfig>();
+        assertRefused(starting, starting.language("chat", false), 503, "not_ready");
     }
 
     // Guards against bodies that crash the router or reach an engine although they are broken.
