Let callers of the load wait longer than the profile's total time

Cause: the caller gave up at the same moment at which the router answers deadline_exceeded, so requests that waited for the whole time counted as lost answers.

--- a/servers/load_generator/load_generator.cpp
+++ b/servers/load_generator/load_generator.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kAvoidNode = seconds(1);
 constexpr Duration kProgressInterval = seconds(1);
 /** Time after the last request's own timeout until its missing end counts as a lost answer. */
-constexpr Duration kEndSlack = seconds(5);
+constexpr Duration kEndSlack = seconds(10);
 
 } // namespace
 
--- a/servers/load_generator/load_plan.cpp
+++ b/servers/load_generator/load_plan.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t kPromptBytesPerToken = 4;
 /** Part of a prompt that all requests of a workspace share, as with a common instruction. */
 constexpr double kSharedPrompt = 0.75;
+/** A caller that gives up at the very time at which the router answers would miss the answer. */
+constexpr Duration kCallerSlack = seconds(3);
 
 double rateFactor(const LoadSpec &spec, const LoadClass &loadClass, Duration at)
 {
@@ -139,7 +141,7 @@
     call.body =
             (loadClass.application() ? applicationBody(spec, request) : languageBody(spec, request))
                     .dump();
-    call.totalTimeout = loadClass.timeout;
+    call.totalTimeout = loadClass.timeout + kCallerSlack;
     return call;
 }
 
--- a/servers/load_generator/load_spec.h
+++ b/servers/load_generator/load_spec.h
@@ -31,6 +31,7 @@
     bool keyed = false;
     Duration firstTokenTarget = seconds(1);
     Duration tokenTarget = milliseconds(42);
+    /** Total time that the profile allows; the caller waits a little longer. */
     Duration timeout = seconds(60);
 
     bool application() const { return model.empty(); }
