Schedule models with the same upstreams as one group

Cause: each route of an application service was a group of its own with its own owner. Change: models with the same upstreams in a failure domain share one group, under the least of their names. Demand is still counted by model. An answer without tokens counts as one, so that waits are estimated for application services too. Conclusion: the tiers of all requests for an upstream are kept by one owner. Groups whose upstreams only overlap still have several owners and see each other through load reports.

--- a/modules/admission/tiered_scheduler_grants.cpp
+++ b/modules/admission/tiered_scheduler_grants.cpp
@@ -20,6 +20,12 @@
 // Of the slots expected to be freed in time, this part is counted on before streams are preempted.
 constexpr double kNaturalReleases = 0.5;
 
+// The answer of an application has no tokens and counts as one.
+std::uint32_t workOf(const ReleaseEvent &event)
+{
+    return event.result == ReleaseResult::Complete ? std::max(event.tokens, 1U) : event.tokens;
+}
+
 } // namespace
 
 void TieredScheduler::learnTokenTime(GrantRecord &record, std::uint32_t tokens, TimePoint now)
@@ -78,7 +84,7 @@
     if (record.profile == nullptr)
         return;
     ServiceEstimator &service = estimator(*record.profile);
-    const std::uint32_t length = record.tokensDone + event.tokens;
+    const std::uint32_t length = record.tokensDone + workOf(event);
     if (event.result == ReleaseResult::Complete)
         service.lengths().observe(length);
     else if (event.result == ReleaseResult::Cancelled && event.tokens > 0)
@@ -105,9 +111,9 @@
     m_upstreams.end(record.upstream, now);
     learn(record, event);
     const double read = kPromptCost * (record.promptTokens + record.tokensDone);
-    const double actual = event.result == ReleaseResult::Unused ? 0 : event.tokens + read;
+    const double actual = event.result == ReleaseResult::Unused ? 0 : workOf(event) + read;
     queue(record.tier).correct(record.workspace, record.weight, actual - record.cost);
-    if (event.tokens > 0) {
+    if (workOf(event) > 0) {
         const double used = std::max(toSeconds(now - record.since), 1e-3);
         const double gain = m_slotRate > 0 ? kSlotGain : 1;
         // Work and time are averaged apart, as long answers hold their slots longer.
--- a/modules/ownership/group_directory.cpp
+++ b/modules/ownership/group_directory.cpp
@@ -3,6 +3,8 @@
 #include "modules/ownership/rendezvous_hash.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <utility>
 
 namespace hawthornslip {
@@ -10,20 +12,38 @@
 void GroupDirectory::setConfig(const SharedConfig &config,
                                const std::unordered_set<UpstreamId> &leaving)
 {
-    m_domains.clear();
+    m_groups.clear();
     m_upstreams.clear();
     for (const auto &upstream : config.upstreams) {
         const bool accepts =
                 upstream.state == UpstreamState::Active && leaving.count(upstream.id) == 0;
         for (const auto &model : upstream.models) {
-            m_upstreams[{model, upstream.domain}].push_back(
-                    {upstream.id, accepts, upstream.maxConcurrency});
-            auto &domains = m_domains[model];
-            if (accepts &&
-                std::find(domains.begin(), domains.end(), upstream.domain) == domains.end())
-                domains.push_back(upstream.domain);
+            const GroupId group{model, upstream.domain};
+            m_upstreams[group].push_back({upstream.id, accepts, upstream.maxConcurrency});
+            auto &groups = m_groups[model];
+            if (accepts && std::find(groups.begin(), groups.end(), group) == groups.end())
+                groups.push_back(group);
         }
     }
+    mergeGroups();
+}
+
+void GroupDirectory::mergeGroups()
+{
+    std::map<std::set<UpstreamId>, GroupId> names;
+    std::unordered_map<GroupId, const GroupId *> merged;
+    for (const auto &[group, upstreams] : m_upstreams) {
+        std::set<UpstreamId> ids;
+        for (const auto &it : upstreams)
+            ids.insert(it.id);
+        GroupId &name = names.try_emplace(std::move(ids), group).first->second;
+        name = std::min(name, group);
+        merged[group] = &name;
+    }
+    for (auto &[model, groups] : m_groups) {
+        for (auto &it : groups)
+            it = *merged.at(it);
+    }
 }
 
 void GroupDirectory::setOwnerCandidates(std::vector<NodeId> nodes)
@@ -40,11 +60,11 @@
     return it->second;
 }
 
-const std::vector<FailureDomain> &GroupDirectory::domainsOf(const ModelName &model) const
+const std::vector<GroupId> &GroupDirectory::groupsOf(const ModelName &model) const
 {
-    static const std::vector<FailureDomain> kNone;
-    const auto it = m_domains.find(model);
-    return it == m_domains.end() ? kNone : it->second;
+    static const std::vector<GroupId> kNone;
+    const auto it = m_groups.find(model);
+    return it == m_groups.end() ? kNone : it->second;
 }
 
 const std::vector<UpstreamInfo> &GroupDirectory::upstreamsOf(const GroupId &group) const
--- a/modules/ownership/group_directory.h
+++ b/modules/ownership/group_directory.h
@@ -11,7 +11,11 @@
 
 namespace hawthornslip {
 
-/** Which groups there are, which upstreams they have and which node owns them. */
+/**
+ * Which groups there are, which upstreams they have and which node owns them. Models with the same
+ * upstreams in a failure domain form one group under the least of their names, as only one owner
+ * can keep the tiers of all requests for an upstream in order.
+ */
 class GroupDirectory
 {
 public:
@@ -24,19 +28,22 @@
     /** @return the owner of @p group, or an empty id when no node may own it. */
     const NodeId &ownerOf(const GroupId &group);
 
-    /** @return the failure domains with an upstream for @p model that accepts work. */
-    const std::vector<FailureDomain> &domainsOf(const ModelName &model) const;
+    /** @return the groups, one of each failure domain, with an upstream for @p model that accepts
+     * work. */
+    const std::vector<GroupId> &groupsOf(const ModelName &model) const;
 
     /** @return true when some upstream has @p model, even one that accepts no work. */
-    bool knows(const ModelName &model) const { return m_domains.count(model) > 0; }
+    bool knows(const ModelName &model) const { return m_groups.count(model) > 0; }
 
     /** @return the upstreams of @p group. */
     const std::vector<UpstreamInfo> &upstreamsOf(const GroupId &group) const;
 
 private:
+    void mergeGroups();
+
     std::vector<NodeId> m_candidates;
     std::unordered_map<GroupId, NodeId> m_owners;
-    std::unordered_map<ModelName, std::vector<FailureDomain>> m_domains;
+    std::unordered_map<ModelName, std::vector<GroupId>> m_groups;
     std::unordered_map<GroupId, std::vector<UpstreamInfo>> m_upstreams;
 };
 
--- a/modules/selection/group_chooser.cpp
+++ b/modules/selection/group_chooser.cpp
@@ -36,18 +36,17 @@
     return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) * kept));
 }
 
-std::optional<FailureDomain> GroupChooser::choose(const ModelName &model, int tier,
-                                                  const std::vector<FailureDomain> &domains,
-                                                  const std::vector<FailureDomain> &tried,
-                                                  TimePoint now) const
+std::optional<GroupId> GroupChooser::choose(int tier, const std::vector<GroupId> &groups,
+                                            const std::vector<FailureDomain> &tried,
+                                            TimePoint now) const
 {
-    std::optional<FailureDomain> best;
+    std::optional<GroupId> best;
     Duration least = Duration::max();
-    for (const auto &it : domains) {
-        if (std::find(tried.begin(), tried.end(), it) != tried.end())
+    for (const auto &it : groups) {
+        if (std::find(tried.begin(), tried.end(), it.domain) != tried.end())
             continue;
-        const auto wait = expectedWait({model, it}, tier, now) +
-                          (it == m_own ? Duration(0) : kDistancePenalty);
+        const auto wait =
+                expectedWait(it, tier, now) + (it.domain == m_own ? Duration(0) : kDistancePenalty);
         if (wait < least) {
             least = wait;
             best = it;
--- a/modules/selection/group_chooser.h
+++ b/modules/selection/group_chooser.h
@@ -23,14 +23,12 @@
     void observe(const GroupId &group, const GroupLoadInfo &load, TimePoint now);
 
     /**
-     * @param domains those with upstreams for @p model.
-     * @param tried those that refused the request.
-     * @return the domain with the least expected wait, or nothing when all were tried.
+     * @param groups those that serve the request, one of each failure domain.
+     * @param tried the domains that refused it.
+     * @return the group with the least expected wait, or nothing when all were tried.
      */
-    std::optional<FailureDomain> choose(const ModelName &model, int tier,
-                                        const std::vector<FailureDomain> &domains,
-                                        const std::vector<FailureDomain> &tried,
-                                        TimePoint now) const;
+    std::optional<GroupId> choose(int tier, const std::vector<GroupId> &groups,
+                                  const std::vector<FailureDomain> &tried, TimePoint now) const;
 
 private:
     struct Seen
--- a/servers/admission/admission_requester.cpp
+++ b/servers/admission/admission_requester.cpp
@@ -76,16 +76,16 @@
 {
     Pending &pending = m_pending.at(key);
     const auto &model = pending.ask.model;
-    const auto domain = m_chooser.choose(model, pending.ask.profile.tier,
-                                         m_world.directory.domainsOf(model), pending.tried, now);
-    if (!domain) {
+    const auto group = m_chooser.choose(pending.ask.profile.tier, m_world.directory.groupsOf(model),
+                                        pending.tried, now);
+    if (!group) {
         const Reason none =
                 m_world.directory.knows(model) ? Reason::NoUpstream : Reason::UnknownModel;
         fail(key, pending.refusal.value_or(makeError(none, Duration(0))));
         return;
     }
-    pending.tried.push_back(*domain);
-    pending.group = {model, *domain};
+    pending.tried.push_back(group->domain);
+    pending.group = *group;
     submit(pending, now);
 }
 
@@ -213,6 +213,7 @@
     Held held;
     held.grant = grant;
     held.key = key;
+    held.model = pending.ask.model;
     held.workspace = pending.ask.workspace;
     held.profile = pending.ask.profile.name;
     held.preempt = std::move(pending.preempt);
@@ -313,9 +314,9 @@
 {
     std::map<GroupId, double> counts;
     for (const auto &[key, pending] : m_pending)
-        ++counts[pending.group];
+        ++counts[{pending.ask.model, pending.group.domain}];
     for (const auto &[id, held] : m_held)
-        ++counts[held.grant.group];
+        ++counts[{held.model, held.grant.group.domain}];
     return counts;
 }
 
--- a/servers/admission/admission_requester.h
+++ b/servers/admission/admission_requester.h
@@ -45,7 +45,7 @@
 
     /** @return the number of asks without an answer. */
     std::size_t pendingCount() const { return m_pending.size(); }
-    /** @return this node's requests that wait or run, by group. */
+    /** @return this node's requests that wait or run, by model and failure domain. */
     std::map<GroupId, double> demand() const;
     /** @return the number of grants that this node holds. */
     std::size_t heldCount() const { return m_held.size(); }
@@ -70,6 +70,7 @@
     {
         AdmissionGrant grant;
         AttemptKey key;
+        ModelName model;
         WorkspaceId workspace;
         ProfileName profile;
         AdmissionGateway::Preempt preempt;
