--- a/modules/membership/failure_detector.h
+++ b/modules/membership/failure_detector.h
@@ -24,10 +24,11 @@
     Duration indirectAfter = milliseconds(350);
     std::size_t helpers = 2;
     /**
-     * Silence that makes a node suspect. A pause of 2 s and a probe interval stay below it, and
-     * with the confirmation a crash is known everywhere within 4 s.
+     * Silence that makes a node suspect. At the end of a pause of 2 s that follows a lost probe it
+     * is 2 s, a probe interval and indirectAfter; with the confirmation a crash is still known
+     * everywhere within 4 s.
      */
-    Duration silenceLimit = milliseconds(3100);
+    Duration silenceLimit = milliseconds(3400);
     /** How long a second observer's suspicion counts. */
     Duration voteLifetime = seconds(2);
     Duration voteInterval = milliseconds(500);
--- a/modules/membership/membership_protocol.cpp
+++ b/modules/membership/membership_protocol.cpp
@@ -27,6 +27,10 @@
 // Without contact more candidates are tried, so that a start does not wait for stale entries.
 constexpr int kProbesWhenAlone = 3;
 constexpr auto kToldDeadInterval = seconds(1);
+// With 5% of messages lost one announcement misses some node of 36 nearly always, and the repair by
+// gossip then takes longer than a crash may go unnoticed.
+constexpr int kAnnouncements = 3;
+constexpr auto kAnnouncementInterval = milliseconds(150);
 
 bool sameOrNewer(const MemberUpdate &a, const MemberUpdate &b)
 {
@@ -102,6 +106,7 @@
     if (m_stopped)
         return;
     m_detector.tick(m_now, m_findings);
+    repeatAnnouncements();
     if (m_now < m_nextCandidateProbe)
         return;
     m_nextCandidateProbe = m_now + kCandidateInterval;
@@ -316,6 +321,30 @@
 }
 
 void MembershipProtocol::announce(const MemberUpdate &update, bool alsoDead)
+{
+    sendToAll(update, alsoDead);
+    m_announcements[update.node] = {update, alsoDead, kAnnouncements - 1,
+                                    m_now + kAnnouncementInterval};
+}
+
+void MembershipProtocol::repeatAnnouncements()
+{
+    for (auto &[node, announcement] : m_announcements) {
+        if (m_now < announcement.next)
+            continue;
+        // What was refuted meanwhile is not repeated.
+        const Member *member = m_table.find(node);
+        if (member == nullptr || member->update != announcement.update)
+            announcement.left = 0;
+        if (announcement.left-- <= 0)
+            continue;
+        announcement.next = m_now + kAnnouncementInterval;
+        sendToAll(announcement.update, announcement.alsoDead);
+    }
+    std::erase_if(m_announcements, [](const auto &it) { return it.second.left <= 0; });
+}
+
+void MembershipProtocol::sendToAll(const MemberUpdate &update, bool alsoDead)
 {
     for (const auto &[node, member] : m_table.members()) {
         if (node != m_table.self().node && node != update.node && (member.live() || alsoDead))
--- a/modules/membership/membership_protocol.h
+++ b/modules/membership/membership_protocol.h
@@ -55,6 +55,8 @@
     void takeAll(const NodeId &sender, const std::vector<MemberUpdate> &updates);
     void declareDead(const Death &death);
     void announce(const MemberUpdate &update, bool alsoDead);
+    void repeatAnnouncements();
+    void sendToAll(const MemberUpdate &update, bool alsoDead);
     void sendFullState(const NodeId &to);
     void answerFullState(const NodeId &to, const std::vector<MemberUpdate> &theirs);
     void probeCandidates();
@@ -62,6 +64,15 @@
     void complete(membership::SendProbe &probe) const;
     std::vector<MemberUpdate> recentUpdates(bool withSelf) const;
 
+    /** An update that all nodes are told several times. */
+    struct Announcement
+    {
+        MemberUpdate update;
+        bool alsoDead = false;
+        int left = 0;
+        TimePoint next;
+    };
+
     std::mt19937_64 m_random;
     MembershipTable m_table;
     FailureDetector m_detector;
@@ -78,6 +89,7 @@
     Duration m_syncInterval;
     /** Since when the digest of a peer has differed from ours. */
     std::map<NodeId, TimePoint> m_differsSince;
+    std::map<NodeId, Announcement> m_announcements;
     /** When a node that is held dead was last told so. */
     std::map<NodeId, TimePoint> m_toldDead;
 };
--- a/modules/membership/tests/membership_protocol_test.cpp
+++ b/modules/membership/tests/membership_protocol_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(crashIsKnownInTimeWithLoss);
     CPPUNIT_TEST(crashOfFailureDomainIsKnown);
     CPPUNIT_TEST(shortPauseIsNoDeath);
+    CPPUNIT_TEST(pauseAfterLossIsNoDeath);
     CPPUNIT_TEST(lossIsNoDeath);
     CPPUNIT_TEST(pausedNodeDiesAndRefutes);
     CPPUNIT_TEST(restartReplacesIncarnation);
@@ -69,8 +70,11 @@
 
     void crashIsKnownInTimeWithLoss()
     {
-        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
             checkCrash(9, seed, 0.01);
+            checkCrash(9, seed, 0.05);
+            checkCrash(36, seed, 0.05);
+        }
     }
 
     // Guards against observers that wait for the confirmation of an observer that died as well.
@@ -97,13 +101,36 @@
         }
     }
 
+    // Guards against a limit that leaves no room for a probe lost just before a pause: seed 3 and 6
+    // of these runs had a false death with a limit of 3.1 s.
+    void pauseAfterLossIsNoDeath()
+    {
+        for (const std::uint64_t seed : {3, 6}) {
+            MembershipCluster cluster(36, seed);
+            cluster.startAll();
+            cluster.run(seconds(40));
+            CPPUNIT_ASSERT(cluster.settled());
+            cluster.network.faults.loss = 0.05;
+            cluster.run(seconds(40));
+            const int changes = cluster.allChanges();
+            std::mt19937_64 random(seed);
+            for (int i = 0; i < 30; ++i) {
+                cluster.pause(random() % 36, seconds(2));
+                cluster.run(milliseconds(5530));
+                CPPUNIT_ASSERT_EQUAL(changes, cluster.allChanges());
+            }
+        }
+    }
+
     // Guards against deaths by lost messages alone.
     void lossIsNoDeath()
     {
         for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
             auto cluster = settledCluster(9, seed);
             cluster->network.faults.loss = 0.05;
-            cluster->run(seconds(300), [&] { CPPUNIT_ASSERT(cluster->settled()); });
+            const int changes = cluster->allChanges();
+            cluster->run(seconds(300));
+            CPPUNIT_ASSERT_EQUAL(changes, cluster->allChanges());
         }
     }
 
--- a/tests/support/membership_cluster.h
+++ b/tests/support/membership_cluster.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <optional>
 #include <string>
 #include <utility>
@@ -111,6 +112,13 @@
     TimePoint now() const { return m_clock.now(); }
     int changes(std::size_t i) const { return m_nodes[i].changes; }
 
+    /** @return how often any node's set of live nodes has changed. */
+    int allChanges() const
+    {
+        return std::accumulate(m_nodes.begin(), m_nodes.end(), 0,
+                               [](int sum, const Node &it) { return sum + it.changes; });
+    }
+
     /** @return true when node @p viewer holds node @p i for live. */
     bool sees(std::size_t viewer, std::size_t i) const { return table(viewer).isLive(idOf(i)); }
 
