--- a/main/node.cpp
+++ b/main/node.cpp
@@ -83,8 +83,8 @@
     , m_answers(PathSettings{}.storedAnswerBytes, PathSettings{}.storedAnswerTime)
     , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, m_upstreamClient,
                           m_retries, m_rates, m_answers, pathSettings(settings.caller)})
-    , m_caller(m_path, {[this] { return m_lifecycle.phase() == NodePhase::Ready; },
-                        [this] { return m_metrics.serialize(); }})
+    , m_caller(m_path,
+               {[this] { return servesCallers(); }, [this] { return m_metrics.serialize(); }})
     , m_callerServer(callerServer(settings.caller))
     , m_operatorServer(operatorServer(settings.operators))
     , m_operatorBackend(m_loop, m_config, m_membership, m_bus.self(), [this] { return facts(); })
@@ -220,6 +220,12 @@
     return {std::string(nameOf(kNodePhaseNames, m_lifecycle.phase())), m_caller.inFlight()};
 }
 
+bool Node::servesCallers() const
+{
+    // A new deployment is ready for its operators before it has a configuration for its callers.
+    return m_lifecycle.phase() == NodePhase::Ready && m_config.current()->generation > 0;
+}
+
 std::size_t Node::activeWork()
 {
     const std::size_t requests = m_caller.inFlight() + m_callerServer.activeRequests();
--- a/main/node.h
+++ b/main/node.h
@@ -47,6 +47,11 @@
     /** @return the id of this node, its peer address. */
     const NodeId &id() const { return m_bus.self(); }
 
+    /** @return the port of the caller interface, after start(). */
+    std::uint16_t callerPort() const { return m_callerServer.port(); }
+    /** @return the port of the operator interface, after start(). */
+    std::uint16_t operatorPort() const { return m_operatorServer.port(); }
+
 private:
     static HttpServerSettings callerServer(const CallerSettings &settings);
     static HttpServerSettings operatorServer(const OperatorSettings &settings);
@@ -56,6 +61,7 @@
     void scheduleHousekeeping();
     void applyInitialConfig();
     void offerInitialConfig();
+    bool servesCallers() const;
     /** @return requests in progress, and claims whose outcome may still be stored in time. */
     std::size_t activeWork();
     NodeOperatorBackend::Facts facts() const;
