End the attempts of a request before its filters account for it

Cause: the account step ran first, so a stream whose caller left was logged as answered. The hedge time of a failed attempt stayed set, so a repeat that waited for its grant did not sleep.

Change: the attempts end before FilterChain::finish(), and each new ask clears the hedge time. A test of large application answers is new.

--- a/servers/request_path/relay_filter.cpp
+++ b/servers/request_path/relay_filter.cpp
@@ -10,10 +10,4 @@
     return context.answered ? boost::leaf::result<void>() : context.run->awaitAnswer();
 }
 
-void RelayFilter::finish(RequestContext &context)
-{
-    if (context.run)
-        context.run->finish();
-}
-
 } // namespace hawthornslip
--- a/servers/request_path/relay_filter.h
+++ b/servers/request_path/relay_filter.h
@@ -10,7 +10,6 @@
 public:
     std::string_view name() const override { return "relay"; }
     boost::leaf::result<void> process(RequestContext &context) override;
-    void finish(RequestContext &context) override;
 };
 
 } // namespace hawthornslip
--- a/servers/request_path/request_path.cpp
+++ b/servers/request_path/request_path.cpp
@@ -24,6 +24,14 @@
 
 namespace {
 
+// The attempts end first, so that each filter's finish() sees the outcome.
+void finishRequest(RequestContext &context, const FilterChain &chain)
+{
+    if (context.run)
+        context.run->finish();
+    chain.finish(context);
+}
+
 /** Streams the answer of a request and ends the request with it. */
 class AnswerSource : public HttpBodySource
 {
@@ -32,7 +40,7 @@
         : m_context(std::move(context))
         , m_chain(chain)
     {}
-    ~AnswerSource() override { m_chain.finish(*m_context); }
+    ~AnswerSource() override { finishRequest(*m_context, m_chain); }
 
     AnswerSource(const AnswerSource &) = delete;
     AnswerSource &operator=(const AnswerSource &) = delete;
@@ -87,7 +95,7 @@
     if (it.reason == Reason::None)
         it.answer.headers.emplace_back("X-Hawthornslip-Execution",
                                        std::string(nameOf(it.execution)));
-    m_chain.finish(it);
+    finishRequest(it, m_chain);
     return std::move(it.answer);
 }
 
--- a/servers/request_path/request_run_attempts.cpp
+++ b/servers/request_path/request_run_attempts.cpp
@@ -28,6 +28,8 @@
     auto attempt =
             std::make_shared<Attempt>(m_services.admission, m_services.clock, m_context.client,
                                       m_services.settings.relayBufferBytes);
+    // A hedge is due only after its first attempt was sent.
+    m_hedgeDelay.reset();
     m_attempts.push_back(attempt);
     attempt->ask(std::move(ask));
 }
--- a/tests/servers/request_path/attempts_test.cpp
+++ b/tests/servers/request_path/attempts_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(eventOfAnotherRequestIsDropped);
     CPPUNIT_TEST(lateAnswerAfterRetryIsNotRelayed);
     CPPUNIT_TEST(hedgeWinsAndTheFirstAttemptIsCancelled);
+    CPPUNIT_TEST(repeatInTheQueueDoesNotSpin);
+    CPPUNIT_TEST(largeApplicationAnswerIsStreamed);
     CPPUNIT_TEST(callerThatLeavesTheQueueIsWithdrawn);
     CPPUNIT_TEST(callerThatLeavesAStreamCancelsIt);
     CPPUNIT_TEST(slowCallerPausesTheUpstream);
@@ -285,6 +287,46 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), it.admission.released.size());
     }
 
+    // Guards against a hedge timer of a failed attempt that keeps the repeat from sleeping.
+    void repeatInTheQueueDoesNotSpin()
+    {
+        PathFixture it;
+        it.retries.delay = milliseconds(100);
+        it.then([&] {
+            it.admission.hold = true;
+            it.call(0).end(UpstreamResult::ConnectFailed);
+        });
+        assertError(it.language("chat", true), 504, "deadline_exceeded", "not_run");
+        CPPUNIT_ASSERT(it.link->waits < 10);
+    }
+
+    // Guards against large answers held in memory, and against a cut one that looks whole.
+    void largeApplicationAnswerIsStreamed()
+    {
+        for (const bool cut : {false, true}) {
+            PathFixture it;
+            const std::string piece(40 << 10, 'x');
+            it.then([&] {
+                it.call(0).headers(200, "application/zip");
+                it.call(0).handler->onData(piece);
+            });
+            it.then([&] { it.call(0).handler->onData(piece); });
+            it.then([&] { it.call(0).handler->onData("end"); });
+            it.then([&] {
+                it.call(0).end(cut ? UpstreamResult::Broken : UpstreamResult::Complete);
+            });
+            auto answer = it.application("chat", "GET");
+            CPPUNIT_ASSERT(answer.stream != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::string("application/zip"),
+                                 *findHeader(answer.headers, "content-type"));
+            bool broken = false;
+            const auto body = PathFixture::readAll(answer, &broken);
+            CPPUNIT_ASSERT(body == piece + piece + "end");
+            CPPUNIT_ASSERT_EQUAL(cut, broken);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.upstream.calls.size());
+        }
+    }
+
     // Guards against a queued request that is run for nobody.
     void callerThatLeavesTheQueueIsWithdrawn()
     {
@@ -319,6 +361,8 @@
         });
         dropped.language("chat", true).stream.reset();
         CPPUNIT_ASSERT(dropped.call(0).cancelled);
+        CPPUNIT_ASSERT_EQUAL(1.0,
+                             dropped.metrics.sum("hawthornslip_requests_total/result=caller_gone"));
     }
 
     // Guards against unbounded buffering for a slow caller.
--- a/tests/support/path_fakes.h
+++ b/tests/support/path_fakes.h
@@ -30,6 +30,7 @@
 
     bool wait(Duration atMost) override
     {
+        ++waits;
         if (!std::exchange(m_woken, false)) {
             if (steps.empty()) {
                 m_clock.advance(std::max(atMost, Duration(1)));
@@ -45,6 +46,7 @@
 
     std::deque<std::function<void()>> steps;
     bool present = true;
+    int waits = 0;
 
 private:
     ManualClock &m_clock;
