--- a/bench/node_group.cpp
+++ b/bench/node_group.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
+#include <nlohmann/json.hpp>
 #include <sodium.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -23,6 +24,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr const char *kOperatorKey = "bench-operator";
 constexpr Duration kPoll = milliseconds(20);
 constexpr Duration kProbeTimeout = milliseconds(500);
 constexpr std::size_t kCurveKeyBytes = 41;
@@ -129,7 +131,7 @@
     file << fmt::format("[caller]\nlisten = \"127.0.0.1:{}\"\nmax_connections = 2000\n",
                         place.callerPort);
     file << fmt::format("[operator]\nlisten = \"127.0.0.1:{}\"\nkey_hashes = [\"{}\"]\n",
-                        place.operatorPort, hashOf("bench-operator"));
+                        place.operatorPort, hashOf(kOperatorKey));
     file << fmt::format("[peer]\nlisten = \"127.0.0.1:{}\"\ncurve_public_key = \"{}\"\n"
                         "curve_secret_key = \"{}\"\nallowed_keys = {}\nseeds = {}\n",
                         place.peerPort, m_curveKeys[index].first, m_curveKeys[index].second,
@@ -173,6 +175,31 @@
     return true;
 }
 
+std::uint64_t NodeGroup::generation(std::size_t index) const
+{
+    const std::map<std::string, std::string> headers = {
+            {"Authorization", std::string("Bearer ") + kOperatorKey}};
+    const auto answer = standin::plainHttp(m_spec.places[index].operatorPort,
+                                           {"GET", "/admin/status", headers, ""}, kProbeTimeout);
+    if (!answer || answer->status != kHttpOk)
+        return 0;
+    const auto json = nlohmann::json::parse(answer->body, nullptr, false);
+    return json.is_object() ? json.value("generation", std::uint64_t{0}) : 0;
+}
+
+bool NodeGroup::waitConfigured(Duration timeout) const
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        while (generation(i) == 0) {
+            if (std::chrono::steady_clock::now() > end)
+                return false;
+            std::this_thread::sleep_for(kPoll);
+        }
+    }
+    return true;
+}
+
 bool NodeGroup::stopAll(Duration timeout)
 {
     for (const auto &it : m_nodes)
--- a/bench/node_group.h
+++ b/bench/node_group.h
@@ -44,6 +44,14 @@
     /** Waits until each node is ready. @return false at the timeout or when one ended. */
     bool waitReady(Duration timeout);
 
+    /**
+     * Waits until each node reports a configuration in force. Readiness alone is not enough: nodes
+     * were seen to be ready on an empty store before their first configuration.
+     *
+     * @return false at the timeout.
+     */
+    bool waitConfigured(Duration timeout) const;
+
     /** Stops all nodes by SIGTERM. @return false when one does not exit with 0. */
     bool stopAll(Duration timeout);
 
@@ -60,6 +68,8 @@
     bool ready(std::size_t index) const;
 
 private:
+    /** @return the generation that the node reports to operators, 0 when it has none. */
+    std::uint64_t generation(std::size_t index) const;
     std::string settingsFile(std::size_t index) const;
     void writeSettings(std::size_t index);
     void start(std::size_t index);
