Keep chance and resumed streams from shrinking the limits

Cause: in a group of one engine with many preemptions the limit fell from 60 to 27: one late sample of four cut it, each cut lowered the ceiling, and the answers of resumed streams counted the reading of their prompt as time between tokens. A limit that starts at half of its bound costs the first seconds of a burst. Change: a cut needs three late samples; probes near the last cut double; token times need the time of the first token; cuts for late first tokens are taken back when the mean does not fall; limits start at the configured bound. Streams are preempted unless natural releases cover four times the need.

--- a/bench/decisions/group_model.h
+++ b/bench/decisions/group_model.h
@@ -85,7 +85,11 @@
     double wastedShare = 0;
     /** Largest difference of a small workspace's served tokens from their mean, as a share. */
     double unfairness = 0;
+    /** Attainment of tier 1 of the small workspaces. */
+    double smallAttainment = 0;
     double cacheHits = 0;
+    /** Mean seconds from sending to the first token. */
+    double firstTokenSeconds = 0;
     SchedulerStats stats;
 };
 
@@ -162,6 +166,10 @@
     std::uint64_t m_prefills = 0;
     std::uint64_t m_hits = 0;
     std::map<int, double> m_served;
+    std::uint64_t m_smallAsked = 0;
+    std::uint64_t m_smallInTime = 0;
+    std::uint64_t m_firstTokens = 0;
+    double m_firstTokenSum = 0;
     ExperimentResult m_result;
 };
 
--- a/modules/admission/tiered_scheduler_grants.cpp
+++ b/modules/admission/tiered_scheduler_grants.cpp
@@ -13,12 +13,13 @@
 constexpr double kSlotGain = 0.02;
 // Fewer tokens say little about the time between tokens.
 constexpr std::uint32_t kMinTokens = 4;
+constexpr std::uint32_t kMinTokensOfAnswer = 16;
 // A lost Preempt message is repeated after this time.
 constexpr Duration kPreemptRepeat = milliseconds(300);
 // A grant that its node does not report may have been granted after the report was made.
 constexpr Duration kReportGrace = seconds(5);
 // Of the slots expected to be freed in time, this part is counted on before streams are preempted.
-constexpr double kNaturalReleases = 0.5;
+constexpr double kNaturalReleases = 0.25;
 
 // The answer of an application has no tokens and counts as one.
 std::uint32_t workOf(const ReleaseEvent &event)
@@ -93,7 +94,9 @@
         service.observeFirstToken(event.firstToken);
         m_upstreams.observeFirstToken(i, event.firstToken, record.profile->firstTokenTarget);
     }
-    if (event.tokens >= kMinTokens && event.duration > event.firstToken) {
+    // Without its first token's time, the time of an answer includes the reading of the prompt.
+    if (event.tokens >= kMinTokensOfAnswer && event.firstToken > Duration(0) &&
+        event.duration > event.firstToken) {
         const Duration tokenTime = (event.duration - event.firstToken) / (event.tokens - 1);
         service.observeTokenTime(tokenTime);
         if (!record.sawTokenTime)
--- a/modules/limits/concurrency_limiter.h
+++ b/modules/limits/concurrency_limiter.h
@@ -14,7 +14,7 @@
 class ConcurrencyLimiter
 {
 public:
-    /** @param maximum configured bound, at least 1; the limit starts at half of it. */
+    /** @param maximum configured bound, at least 1; the limit starts there. */
     explicit ConcurrencyLimiter(std::uint32_t maximum);
 
     /** Changes the configured bound. */
@@ -56,10 +56,12 @@
         std::uint32_t count = 0;
         std::uint32_t late = 0;
         std::uint32_t near = 0;
+        double sum = 0;
 
         void add(double ratio, double lateRatio, double nearRatio);
-        double lateShare() const { return count > 0 ? double(late) / count : 0; }
-        double nearShare() const { return count > 0 ? double(near) / count : 0; }
+        double mean() const { return count > 0 ? sum / count : 0; }
+        /** @return true when @p n of the samples are more than come by chance. */
+        bool many(std::uint32_t n) const;
     };
 
     void cut(double limit, TimePoint now);
@@ -73,9 +75,9 @@
     std::uint32_t m_overloads = 0;
     std::uint32_t m_queued = 0;
     std::uint32_t m_lastQueued = 0;
-    /** Limit and late share of first tokens before the first of a row of cuts; 0 without one. */
+    /** Limit and mean first token before the first of a row of cuts; 0 without one. */
     double m_limitBefore = 0;
-    double m_lateBefore = 0;
+    double m_firstTokenBefore = 0;
     TimePoint m_ignoreFirstTokenUntil{};
     Duration m_ignoreFor{0};
     /** The limit at the last cut. */
@@ -83,6 +85,7 @@
     TimePoint m_windowStart{};
     TimePoint m_settled{};
     TimePoint m_probed{};
+    double m_probeStep = 1;
 };
 
 } // namespace hawthornslip
