--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -18,8 +18,14 @@
 for target in "${targets[@]}"; do
     echo "fuzz: $target $limit" >&2
     mkdir -p "build/fuzz/corpus/$target"
-    build/fuzz/"$target" "$limit" -seed=1 -max_len=4096 -timeout=10 -print_final_stats=0 \
-        "build/fuzz/corpus/$target" >"build/fuzz/$target.log" 2>&1 || {
+    seeds=()
+    case $target in
+    settings_fuzz) seeds=(examples/yayasan) ;;
+    config_document_fuzz) seeds=(examples/krieslins) ;;
+    *) [ -d "tests/fuzz/seeds/$target" ] && seeds=("tests/fuzz/seeds/$target") ;;
+    esac
+    build/fuzz/"$target" "$limit" -seed=1 -max_len=16384 -timeout=10 -print_final_stats=0 \
+        "build/fuzz/corpus/$target" "${seeds[@]}" >"build/fuzz/$target.log" 2>&1 || {
         tail -40 "build/fuzz/$target.log"
         echo "fuzz: $target found an input that fails" >&2
         exit 1
