Count the idle time-out of a connection from the last piece of its answer

Cause: a streamed answer whose next piece took longer than clients may be idle was cut, because libmicrohttpd counted the wait for the piece as silence of the client.

Change: the time starts afresh after a wait of half a second or more.

Conclusion: without the restart the new test fails; tried by hand.

--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -75,9 +75,35 @@
     return request;
 }
 
-ssize_t readStream(void *source, std::uint64_t /*offset*/, char *room, std::size_t size)
+// libmicrohttpd counts the idle time afresh when the time-out is set after it was off.
+void restartIdleTimeout(MHD_Connection *connection, unsigned seconds)
 {
-    const auto result = static_cast<HttpBodySource *>(source)->read(room, size);
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, seconds);
+}
+
+/** A streamed answer and the connection that it is sent on. */
+struct ConnectionStream
+{
+    std::unique_ptr<HttpBodySource> source;
+    MHD_Connection *connection;
+    unsigned idleSeconds;
+
+    HttpBodyRead read(char *room, std::size_t size) const
+    {
+        using Clock = std::chrono::steady_clock;
+        const auto start = Clock::now();
+        const auto result = source->read(room, size);
+        // The wait for a piece is not the client's silence. Short waits are not worth the call.
+        if (Clock::now() - start >= std::chrono::milliseconds(500))
+            restartIdleTimeout(connection, idleSeconds);
+        return result;
+    }
+};
+
+ssize_t readStream(void *stream, std::uint64_t /*offset*/, char *room, std::size_t size)
+{
+    const auto result = static_cast<const ConnectionStream *>(stream)->read(room, size);
     switch (result.state) {
     case HttpBodyRead::State::More:
         return static_cast<ssize_t>(result.bytes);
@@ -89,12 +115,13 @@
     return U_STREAM_ERROR;
 }
 
-void freeStream(void *source)
+void freeStream(void *stream)
 {
-    delete static_cast<HttpBodySource *>(source);
+    delete static_cast<ConnectionStream *>(stream);
 }
 
-void fill(_u_response &response, HttpAnswer &answer)
+void fill(_u_response &response, HttpAnswer &answer, MHD_Connection *connection,
+          unsigned idleSeconds)
 {
     for (const auto &[name, value] : answer.headers)
         ulfius_add_header_to_response(&response, name.c_str(), value.c_str());
@@ -102,9 +129,10 @@
         ulfius_add_header_to_response(&response, "Connection", "close");
     const auto status = static_cast<unsigned>(answer.status);
     if (answer.stream) {
-        ulfius_set_stream_response(&response, status, &readStream, &freeStream,
-                                   U_STREAM_SIZE_UNKNOWN, kStreamBlockBytes,
-                                   answer.stream.release());
+        ulfius_set_stream_response(
+                &response, status, &readStream, &freeStream, U_STREAM_SIZE_UNKNOWN,
+                kStreamBlockBytes,
+                new ConnectionStream{std::move(answer.stream), connection, idleSeconds});
     } else if (answer.body.empty()) {
         ulfius_set_empty_body_response(&response, status);
     } else {
@@ -241,8 +269,7 @@
             option(MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                    static_cast<std::intptr_t>(2 * m_settings.maxHeaderBytes +
                                               kConnectionPoolExtra)),
-            option(MHD_OPTION_CONNECTION_TIMEOUT,
-                   static_cast<std::intptr_t>(toMillis(m_settings.idleTimeout) / 1000)),
+            option(MHD_OPTION_CONNECTION_TIMEOUT, static_cast<std::intptr_t>(idleSeconds())),
             option(MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes),
     };
     // poll() is required: select() fails on descriptors above 1023.
@@ -278,14 +305,19 @@
     MHD_set_connection_option(entry.connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
     auto answered = answer(std::move(request), std::make_shared<SocketClientLink>(entry.socket),
                            headerBytes);
-    MHD_set_connection_option(entry.connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                              static_cast<unsigned>(toMillis(m_settings.idleTimeout) / 1000));
+    restartIdleTimeout(entry.connection, idleSeconds());
     if (!m_accepting)
         answered.close = true;
-    fill(response, answered);
+    fill(response, answered, entry.connection, idleSeconds());
     return U_CALLBACK_COMPLETE;
 }
 
+unsigned UlfiusHttpServer::idleSeconds() const
+{
+    return static_cast<unsigned>(
+            std::chrono::ceil<std::chrono::seconds>(m_settings.idleTimeout).count());
+}
+
 HttpAnswer UlfiusHttpServer::answer(HttpRequest request,
                                     const std::shared_ptr<HttpClientLink> &link,
                                     std::size_t headerBytes) const
--- a/drivers/http/ulfius_http_server.h
+++ b/drivers/http/ulfius_http_server.h
@@ -53,6 +53,7 @@
     bool openListenSocket();
     bool readTlsFiles(Tls &tls) const;
     bool startFramework(const Tls &tls);
+    unsigned idleSeconds() const;
     int handle(const _u_request &request, _u_response &response);
     HttpAnswer answer(HttpRequest request, const std::shared_ptr<HttpClientLink> &link,
                       std::size_t headerBytes) const;
--- a/tests/drivers/http/ulfius_http_server_test.cpp
+++ b/tests/drivers/http/ulfius_http_server_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(wakeEndsTheWait);
     CPPUNIT_TEST(sourceIsFreedWhenTheClientLeaves);
     CPPUNIT_TEST(stopWaitsForTheLastAnswer);
+    CPPUNIT_TEST(slowAnswerOutlivesTheIdleTimeout);
     CPPUNIT_TEST(handlerThatThrowsIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +266,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.activeRequests());
     }
 
+    // Guards against an answer that is cut because it took longer than clients may be idle.
+    void slowAnswerOutlivesTheIdleTimeout()
+    {
+        constexpr auto kLongerThanIdle = milliseconds(2200);
+        auto bounds = settings();
+        bounds.idleTimeout = seconds(1);
+        UlfiusHttpServer server(bounds);
+        server.route("GET", "/whole", [&](HttpRequest, const Link &link) {
+            link->wait(kLongerThanIdle);
+            return text("whole");
+        });
+        server.route("GET", "/stream", [&](HttpRequest, const Link &link) {
+            HttpAnswer answer;
+            answer.stream = std::make_unique<FunctionSource>(
+                    [&, link, n = 0]() mutable -> std::optional<std::string> {
+                        link->wait(kLongerThanIdle);
+                        return ++n == 1 ? std::optional<std::string>("piece") : std::nullopt;
+                    });
+            return answer;
+        });
+        server.start();
+        CPPUNIT_ASSERT(get(server, "GET /whole").ends_with("whole"));
+        auto client = RawConnection::connectTo(server.port());
+        client.send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(client.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT(client.waitClosed());
+    }
+
     // Guards against an exception that leaves the listener's C code.
     void handlerThatThrowsIsAnswered()
     {
