Spread the prompts of the fault matrix and check the end of a planned stop

Cause: taking the draining state out of the scheduling was not noticed, because cache affinity kept all requests on one engine; a stop that did not wait for its requests was not noticed either, because their end counted as a crash.

Change: each request has its own prompt, and a planned stop that ends with requests in flight violates I7.

--- a/tests/matrix/matrix_caller.cpp
+++ b/tests/matrix/matrix_caller.cpp
@@ -81,7 +81,8 @@
     nlohmann::json body{{"tag", ask.tag}};
     if (!ask.application) {
         body["model"] = "m";
-        body["prompt"] = "p";
+        // Different prompts, so that cache affinity spreads the requests over the engines.
+        body["prompt"] = ask.tag;
         body["stream"] = ask.stream;
     }
     http.body = body.dump();
--- a/tests/matrix/matrix_checks.cpp
+++ b/tests/matrix/matrix_checks.cpp
@@ -117,6 +117,14 @@
             tag + " was cut off by a planned stop");
 }
 
+void MatrixCluster::endNode(int n)
+{
+    for (const auto &it : m_callers)
+        require(&it->node() != &node(n) || it->thread().ended(), "I7",
+                it->ask.tag + " was cut off by a planned stop");
+    crashNode(n);
+}
+
 void MatrixCluster::finishStops()
 {
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
@@ -130,7 +138,7 @@
                             });
         // Outcomes that are not yet stored go with the process otherwise.
         if (!busy && it.claims.heldCount() == 0)
-            crashNode(static_cast<int>(i));
+            endNode(static_cast<int>(i));
     }
 }
 
--- a/tests/matrix/matrix_cluster.h
+++ b/tests/matrix/matrix_cluster.h
@@ -113,6 +113,7 @@
     bool runDue();
     TimePoint nextEvent(TimePoint end) const;
     void finishStops();
+    void endNode(int n);
     void noteRun(const std::string &url, const std::string &request, const std::string &tag);
     void noteOrder(const std::string &url, const test::EngineOrder &order);
     void checkLease();
