Serve timely tier-0 requests before late ones

Cause: when tier 0 alone asks for as much as its upstreams can do, the earliest deadline first makes nearly all of its requests late. Change: a tier-0 request that still meets its target goes before those that no longer do; these are still served before any lower tier. Each test fails with its mechanism taken out by hand.

--- a/modules/admission/fair_queue.cpp
+++ b/modules/admission/fair_queue.cpp
@@ -89,6 +89,15 @@
     return it->second->items.begin()->second;
 }
 
+const QueuedAsk *FairQueue::timelyHead(std::size_t n, TimePoint now) const
+{
+    if (n >= m_active.size())
+        return nullptr;
+    const auto &items = std::next(m_active.begin(), static_cast<std::ptrdiff_t>(n))->second->items;
+    const auto timely = items.lower_bound({{now, 0}, nullptr});
+    return timely == items.end() ? items.begin()->second : timely->second;
+}
+
 QueuedAsk FairQueue::take(const AttemptKey &key)
 {
     Flow &flow = m_flows.find(flowOf(m_items.find(key)->second.ask.workspace))->second;
--- a/modules/admission/fair_queue.h
+++ b/modules/admission/fair_queue.h
@@ -56,6 +56,12 @@
      */
     const QueuedAsk *head(std::size_t n = 0) const;
 
+    /**
+     * @return of the @p n th workspace in turn the first request that still meets its target, or
+     *         its first one when none does; nullptr when there are fewer workspaces.
+     */
+    const QueuedAsk *timelyHead(std::size_t n, TimePoint now) const;
+
     /** Removes a request that is granted and charges its workspace. */
     QueuedAsk take(const AttemptKey &key);
 
--- a/modules/admission/tests/tiered_scheduler_test.cpp
+++ b/modules/admission/tests/tiered_scheduler_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(onlyRepeatableStreamsArePreempted);
     CPPUNIT_TEST(lateRequestsOfLowerTiersAreRefused);
     CPPUNIT_TEST(orderTierIsRefusedOnlyAtItsDeadline);
+    CPPUNIT_TEST(lateOrderTierGoesBehindTimelyOnes);
+    CPPUNIT_TEST(lateWorkspaceGoesBehindTimelyOne);
     CPPUNIT_TEST(starvingTierIsServed);
     CPPUNIT_TEST(workspacesShareByWeight);
     CPPUNIT_TEST(drainedUpstreamGetsNothingNew);
@@ -164,6 +166,36 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, scheduler->stats().orderTierViolations);
     }
 
+    // Guards against an overload of tier 0 that makes each of its requests late.
+    void lateOrderTierGoesBehindTimelyOnes()
+    {
+        auto scheduler = make(1, 1);
+        auto held = granted(*scheduler, makeAsk("a", 0));
+        scheduler->onAsk(makeAsk("late", 0, "v"), m_now);
+        scheduler->onAsk(makeAsk("late2", 0, "v"), m_now);
+        m_now += seconds(2);
+        scheduler->onAsk(makeAsk("timely", 0, "v"), m_now);
+        scheduler->onAsk(makeAsk("timely2", 0, "w2"), m_now);
+        scheduler->onAsk(makeAsk("lower", 1), m_now);
+        for (const auto *expected : {"timely", "timely2", "late", "late2", "lower"}) {
+            const auto next = only<GrantAction>(scheduler->onRelease(makeRelease(held), m_now));
+            CPPUNIT_ASSERT_EQUAL(RequestId(expected), next.at(0).key.request);
+            held = next.at(0).grant;
+        }
+    }
+
+    // Guards against a workspace whose late requests make those of another one late as well.
+    void lateWorkspaceGoesBehindTimelyOne()
+    {
+        auto scheduler = make(1, 1);
+        const auto held = granted(*scheduler, makeAsk("a", 0));
+        scheduler->onAsk(makeAsk("late", 0, "v"), m_now);
+        m_now += seconds(2);
+        scheduler->onAsk(makeAsk("timely", 0, "x"), m_now);
+        const auto next = only<GrantAction>(scheduler->onRelease(makeRelease(held), m_now));
+        CPPUNIT_ASSERT_EQUAL(RequestId("timely"), next.at(0).key.request);
+    }
+
     // Guards against a lowest tier that never runs while tier 0 fills the group (invariant I2).
     void starvingTierIsServed()
     {
--- a/modules/admission/tiered_scheduler.cpp
+++ b/modules/admission/tiered_scheduler.cpp
@@ -221,11 +221,31 @@
         preempt(now, actions);
 }
 
+std::size_t TieredScheduler::firstTimely(int tier, TimePoint now) const
+{
+    // Late requests of lower tiers are refused; those that stay are resumed streams, which go
+    // first.
+    if (tier != kOrderTier)
+        return 0;
+    for (std::size_t n = 0; n < kHeadsTried; ++n) {
+        const QueuedAsk *item = queue(tier).timelyHead(n, now);
+        if (item == nullptr)
+            break;
+        if (item->startBy >= now)
+            return n;
+    }
+    return 0;
+}
+
 bool TieredScheduler::grantFrom(int tier, TimePoint now, SchedulerActions &actions)
 {
     std::vector<std::size_t> excluded;
+    const std::size_t first = firstTimely(tier, now);
     for (std::size_t n = 0; n < kHeadsTried; ++n) {
-        const QueuedAsk *item = queue(tier).head(n);
+        // The workspace that is preferred changes places with the first one.
+        const std::size_t place = n == 0 ? first : n == first ? 0 : n;
+        const QueuedAsk *item =
+                tier == kOrderTier ? queue(tier).timelyHead(place, now) : queue(tier).head(place);
         if (item == nullptr)
             return false;
         if (item->deadline <= now || (item->refuseAfter <= now && !starves(tier, now))) {
--- a/modules/admission/tiered_scheduler.h
+++ b/modules/admission/tiered_scheduler.h
@@ -54,6 +54,12 @@
     bool orderTierCanWait(TimePoint now) const;
     std::size_t guaranteedSlots(int tier) const;
     void dispatch(TimePoint now, SchedulerActions &actions);
+    /**
+     * @return the place of the first workspace in turn with a request that still meets its target,
+     *         or 0. When more is asked of tier 0 than fits, the earliest deadline first would make
+     *         all of its requests late.
+     */
+    std::size_t firstTimely(int tier, TimePoint now) const;
     bool grantFrom(int tier, TimePoint now, SchedulerActions &actions);
     void grant(int tier, AttemptKey key, std::size_t upstream, TimePoint now,
                SchedulerActions &actions);
