Give a leaving upstream nothing new and stop calls before the services

Cause: the platform's list also shows VMs of upstreams. They were taken for candidates of nodes, and one that was leaving went on getting work. Calls to the platform that were in progress at the end reported back to services that were gone. Change: UpstreamVmFilter splits the list by the addresses of the configured upstreams; the HTTP clients and the store end before the services do.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -67,21 +67,23 @@
     : m_settings(settings)
     , m_incarnation(newIncarnation(m_clock))
     , m_loop(m_clock)
-    , m_store(makeStore(settings.platform, m_platformClient, m_metrics))
-    , m_vmList(makeVmList(settings, m_platformClient))
+    , m_store(makeStore(settings.platform, *m_platformClient, m_metrics))
+    , m_platformVms(makeVmList(settings, *m_platformClient))
+    , m_vmList(*m_platformVms, m_config,
+               [this](auto leaving) { m_admission.setLeavingUpstreams(std::move(leaving)); })
     , m_transport(settings.peer)
     , m_bus(m_loop, m_transport, m_metrics, nodeIdOf(settings.peer.listen), m_incarnation)
-    , m_membership(m_loop, m_bus, m_transport, *m_vmList, m_metrics, newSeed(),
+    , m_membership(m_loop, m_bus, m_transport, m_vmList, m_metrics, newSeed(),
                    membershipOptions(settings))
     , m_config(m_loop, m_bus, m_membership, *m_store, m_metrics, m_clock, newSeed())
     , m_claims(m_loop, m_bus, m_membership, *m_store, m_metrics, m_clock, newSeed())
-    , m_placement(m_loop, m_bus, m_membership, *m_store, m_platformClient, m_config, m_metrics,
+    , m_placement(m_loop, m_bus, m_membership, *m_store, *m_platformClient, m_config, m_metrics,
                   [this] { return m_admission.demand(); })
     , m_placedConfig(m_config, m_placement)
     , m_admission(m_loop, m_bus, m_membership, m_placedConfig, m_metrics,
                   {settings.domain, settings.schedulingPolicy})
     , m_answers(PathSettings{}.storedAnswerBytes, PathSettings{}.storedAnswerTime)
-    , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, m_upstreamClient,
+    , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, *m_upstreamClient,
                           m_retries, m_rates, m_answers, pathSettings(settings.caller)})
     , m_caller(m_path,
                {[this] { return servesCallers(); }, [this] { return m_metrics.serialize(); }})
@@ -103,12 +105,20 @@
 
 Node::~Node()
 {
-    if (!m_started)
-        return;
+    if (m_started)
+        stopThreads();
+}
+
+void Node::stopThreads()
+{
     m_callerServer.stop(Duration{0});
     m_operatorServer.stop(Duration{0});
     m_loop.stop();
     m_transport.stop();
+    m_upstreamClient.reset();
+    m_platformClient.reset();
+    m_store.reset();
+    m_started = false;
 }
 
 HttpServerSettings Node::callerServer(const CallerSettings &settings)
@@ -249,12 +259,8 @@
     m_callerServer.stopAccepting();
     while (m_lifecycle.phase() != NodePhase::Stopped)
         std::this_thread::sleep_for(kDrainPoll);
-    m_callerServer.stop(Duration{0});
-    m_operatorServer.stop(Duration{0});
     m_loop.run([this] { m_placement.stop(); });
-    m_loop.stop();
-    m_transport.stop();
-    m_started = false;
+    stopThreads();
 }
 
 } // namespace hawthornslip
--- a/main/node.h
+++ b/main/node.h
@@ -13,6 +13,7 @@
 #include "servers/config/config_service.h"
 #include "servers/lifecycle/lifecycle_service.h"
 #include "servers/membership/membership_service.h"
+#include "servers/membership/upstream_vm_filter.h"
 #include "servers/operator/operator_service.h"
 #include "servers/peer/control_loop.h"
 #include "servers/peer/peer_bus.h"
@@ -58,6 +59,8 @@
     static MembershipServiceOptions membershipOptions(const Settings &settings);
     static std::unique_ptr<VmList> makeVmList(const Settings &settings, UpstreamClient &client);
     bool startListeners();
+    /** Ends all threads; the services stay, because calls that are cancelled still report back. */
+    void stopThreads();
     void scheduleHousekeeping();
     void applyInitialConfig();
     void offerInitialConfig();
@@ -72,10 +75,11 @@
     const std::uint64_t m_incarnation;
     ControlLoop m_loop;
     // Platform and upstream calls have a loop each, so that token traffic never delays a claim.
-    CurlUpstreamClient m_platformClient;
-    CurlUpstreamClient m_upstreamClient;
+    std::unique_ptr<CurlUpstreamClient> m_platformClient = std::make_unique<CurlUpstreamClient>();
+    std::unique_ptr<CurlUpstreamClient> m_upstreamClient = std::make_unique<CurlUpstreamClient>();
     std::unique_ptr<ObjectStore> m_store;
-    std::unique_ptr<VmList> m_vmList;
+    std::unique_ptr<VmList> m_platformVms;
+    UpstreamVmFilter m_vmList;
     ZeromqTransport m_transport;
     PeerBus m_bus;
     MembershipService m_membership;
