Free the calls of the fake upstream with the fake

Cause: a trial with the address sanitizer reported 75,298 bytes of leaks in the tests: each fake call and its handler held each other.

Change: the fake drops the handlers at its end, as the real client does after onEnd().

--- a/tests/support/path_fakes.h
+++ b/tests/support/path_fakes.h
@@ -149,6 +149,16 @@
         void end(UpstreamResult result) { handler->onEnd({result, 0, ""}); }
     };
 
+    FakeUpstream() = default;
+    // A call and its handler hold each other until the test is over.
+    ~FakeUpstream() override
+    {
+        for (const auto &it : calls)
+            it->handler.reset();
+    }
+    FakeUpstream(const FakeUpstream &) = delete;
+    FakeUpstream &operator=(const FakeUpstream &) = delete;
+
     std::shared_ptr<UpstreamCall> send(UpstreamRequest request,
                                        std::shared_ptr<UpstreamHandler> handler) override
     {
