Bound the log lines about refused peer keys

Cause: A refused peer tries again several times a second and each try wrote a line.

Change: At most one line in 10 s, with the number of tries.

Conclusion: drivers_tests pass; the bound itself has no test.

--- a/drivers/zeromq/zeromq_worker.cpp
+++ b/drivers/zeromq/zeromq_worker.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kRawKeyLength = 32;
 constexpr auto kPollInterval = std::chrono::milliseconds(200);
 constexpr auto kIdleCheckInterval = seconds(1);
+// A refused peer tries again several times a second.
+constexpr auto kRefusalLogInterval = seconds(10);
 // A batch bound keeps a busy ROUTER from delaying the messages to send.
 constexpr int kMessagesPerRound = 512;
 
@@ -241,7 +243,7 @@
                              std::find(m_allowedRawKeys.begin(), m_allowedRawKeys.end(),
                                        frames[kZapKey]) != m_allowedRawKeys.end();
         if (!allowed)
-            logEvent(LogLevel::Warning, "peer_key_refused");
+            noteRefusal();
         const std::string id = frames.size() > kZapRequestId ? frames[kZapRequestId] : "";
         const std::vector<std::string> reply = {frames[kZapVersion],
                                                 id,
@@ -257,6 +259,16 @@
     }
 }
 
+void ZeromqTransport::Worker::noteRefusal()
+{
+    ++m_refusals;
+    const TimePoint now = steadyNow();
+    if (now - m_lastRefusalLog < kRefusalLogInterval)
+        return;
+    m_lastRefusalLog = now;
+    logEvent(LogLevel::Warning, "peer_key_refused", {{"count", std::exchange(m_refusals, 0)}});
+}
+
 void ZeromqTransport::Worker::readMonitors()
 {
     for (auto &[node, peer] : m_peers) {
--- a/drivers/zeromq/zeromq_worker.h
+++ b/drivers/zeromq/zeromq_worker.h
@@ -43,6 +43,7 @@
     void deliver(const Command &command);
     void receiveMessages();
     void answerAuthentication();
+    void noteRefusal();
     void readMonitors();
     void closeIdle();
     void makeRoom();
@@ -60,6 +61,8 @@
     std::vector<std::string> m_allowedRawKeys;
     TimePoint m_lastIdleCheck;
     std::uint64_t m_monitorCount = 0;
+    std::uint64_t m_refusals = 0;
+    TimePoint m_lastRefusalLog;
 };
 
 } // namespace hawthornslip
