Let claim owners return with an old copy in the fault matrix

Cause: a claim owner that takes a conflicting write for its own passed all cells.

Change: with a fault of the claim owner at the first stage, the target is sent after another owner took over.

--- a/tests/matrix/scenario.cpp
+++ b/tests/matrix/scenario.cpp
@@ -31,7 +31,17 @@
         m_cluster.onStage = [this](Stage stage, int node, const RequestId &request) {
             reached(stage, node, request);
         };
+        // A fault of the claim owner before the request: another owner serves the claim, and the
+        // first one comes back with an old copy of the shard.
+        const bool early = m_strikes.front().where == Where::ClaimOwner &&
+                           m_strikes.front().stage == Stage::Accept;
+        if (early) {
+            strikeAt(Stage::Accept, 0);
+            m_cluster.run(seconds(5));
+        }
         m_first = &m_cluster.call(0, targetAsk());
+        if (early)
+            sendDuplicates();
         m_cluster.runUntil([this] { return m_first->end != CallerEnd::Pending; }, seconds(60));
         // Faults that strike after the end of the request still take their time.
         m_cluster.run(milliseconds(50));
@@ -134,7 +144,7 @@
         if (m_struck == m_strikes.size() || m_strikes[m_struck].stage != stage)
             return;
         const auto strike = m_strikes[m_struck++];
-        if (m_struck == 1)
+        if (m_struck == 1 && m_first != nullptr)
             sendDuplicates();
         int at = node;
         if (strike.where == Where::Other)
@@ -148,7 +158,7 @@
 
     int engineOfTarget()
     {
-        for (int i = 0; i < MatrixCluster::kEngines; ++i) {
+        for (int i = 0; m_first != nullptr && i < MatrixCluster::kEngines; ++i) {
             const auto &runs = m_cluster.world().engines.at(MatrixCluster::engineUrl(i)).runs;
             if (std::find(runs.begin(), runs.end(), m_first->request.value) != runs.end())
                 return i;
