--- a/tests/matrix/matrix_table.cpp
+++ b/tests/matrix/matrix_table.cpp
@@ -46,7 +46,7 @@
 std::string_view whyStruckOut(Fault fault, Stage /*stage*/)
 {
     if (fault == Fault::LeaseLapsed)
-        return "requests use no lease; the long pause is run as node pause";
+        return "requests use no lease; node pause is the row for them";
     return {};
 }
 
