Trust a configured certificate towards nodes, platform and upstreams

Cause: a TLS listener with a certificate of the operator's own could not be reached by the command line, and TLS had no test.

--- a/core/settings.h
+++ b/core/settings.h
@@ -67,6 +67,8 @@
     /** Base address of the VM list; empty uses the seeds. */
     std::string vmListUrl;
     Duration storeTimeout = seconds(2);
+    /** Certificates to trust for `https://` towards platform and upstreams; empty: the system's. */
+    std::string caFile;
 };
 
 /** Times of a planned stop. */
--- a/drivers/http/curl_upstream_client.cpp
+++ b/drivers/http/curl_upstream_client.cpp
@@ -38,7 +38,8 @@
     std::function<void()> m_resume;
 };
 
-CurlUpstreamClient::CurlUpstreamClient()
+CurlUpstreamClient::CurlUpstreamClient(std::string caFile)
+    : m_caFile(std::move(caFile))
 {
     static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_ALL);
     static_cast<void>(kInitialised);
@@ -200,6 +201,8 @@
 void CurlUpstreamClient::begin(const std::shared_ptr<CurlTransfer> &transfer)
 {
     void *easy = transfer->prepare();
+    if (!m_caFile.empty())
+        curl_easy_setopt(easy, CURLOPT_CAINFO, m_caFile.c_str());
     m_transfers.emplace(easy, transfer);
     curl_multi_add_handle(m_multi, easy);
     schedule(transfer, transfer->nextExpiry());
--- a/drivers/http/curl_upstream_client.h
+++ b/drivers/http/curl_upstream_client.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <unordered_map>
 #include <vector>
@@ -22,7 +23,8 @@
 class CurlUpstreamClient : public UpstreamClient
 {
 public:
-    CurlUpstreamClient();
+    /** @param caFile certificates to trust for `https://`; empty trusts those of the system. */
+    explicit CurlUpstreamClient(std::string caFile = {});
     /** Cancels the calls in progress and joins the thread. */
     ~CurlUpstreamClient() override;
 
@@ -51,6 +53,7 @@
     static int onSocket(void *easy, int socket, int what, void *self, void *known);
     static int onTimer(void *multi, long millis, void *self);
 
+    const std::string m_caFile;
     void *m_multi = nullptr;
     int m_epoll = -1;
     int m_event = -1;
--- a/drivers/toml/settings_schema.cpp
+++ b/drivers/toml/settings_schema.cpp
@@ -233,6 +233,9 @@
             {"platform", "store_timeout_ms", false,
              millisKey(
                      [](Settings & s) -> auto & { return s.platform.storeTimeout; }, 50, 60'000)});
+    keys.push_back({"platform", "ca_file", false,
+                    textKey(
+                            [](Settings & s) -> auto & { return s.platform.caFile; }, nonEmpty)});
     keys.push_back(
             {"stop", "balancer_notice_ms", false,
              millisKey(
--- a/main/commands/operator_options.cpp
+++ b/main/commands/operator_options.cpp
@@ -32,13 +32,15 @@
             ->capture_default_str();
     app.add_option("--key", options->endpoint.key, "Operator key")
             ->envname("HAWTHORNSLIP_OPERATOR_KEY");
+    app.add_option("--ca-file", options->caFile, "Certificates to trust for https")
+            ->envname("HAWTHORNSLIP_CA_FILE");
     return options;
 }
 
 ExitCode withOperatorClient(const OperatorOptions &options,
                             const std::function<ExitCode(OperatorClient &)> &use)
 {
-    CurlUpstreamClient http;
+    CurlUpstreamClient http(options.caFile);
     OperatorClient client(http, options.endpoint);
     return use(client);
 }
--- a/main/commands/operator_options.h
+++ b/main/commands/operator_options.h
@@ -13,6 +13,8 @@
 struct OperatorOptions
 {
     OperatorEndpoint endpoint{"http://127.0.0.1:8081", ""};
+    /** Certificates to trust for `https://`; empty trusts those of the system. */
+    std::string caFile;
 };
 
 /** Adds `--node` and `--key` to @p app. @return the options that parsing fills. */
--- a/main/commands/outcome_command.cpp
+++ b/main/commands/outcome_command.cpp
@@ -27,7 +27,7 @@
 {
     auto *outcome = app.add_subcommand("outcome", "Show what became of a request by its key");
     const auto endpoint =
-            std::make_shared<OperatorOptions>(OperatorOptions{{"http://127.0.0.1:8080", ""}});
+            std::make_shared<OperatorOptions>(OperatorOptions{{"http://127.0.0.1:8080", ""}, ""});
     const auto key = std::make_shared<std::string>();
     outcome->add_option("idempotency_key", *key, "Idempotency key of the request")->required();
     outcome->add_option("--node", endpoint->endpoint.url, "Caller address of a node")
@@ -35,6 +35,8 @@
             ->capture_default_str();
     outcome->add_option("--key", endpoint->endpoint.key, "Workspace key")
             ->envname("HAWTHORNSLIP_WORKSPACE_KEY");
+    outcome->add_option("--ca-file", endpoint->caFile, "Certificates to trust for https")
+            ->envname("HAWTHORNSLIP_CA_FILE");
     addExamples(*outcome, "hawthornslip outcome order-4711 --key $KEY");
     onRun(*outcome, context, [=, &context] {
         return withOperatorClient(*endpoint, [&](OperatorClient &client) {
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -67,6 +67,8 @@
     : m_settings(settings)
     , m_incarnation(newIncarnation(m_clock))
     , m_loop(m_clock)
+    , m_platformClient(std::make_unique<CurlUpstreamClient>(settings.platform.caFile))
+    , m_upstreamClient(std::make_unique<CurlUpstreamClient>(settings.platform.caFile))
     , m_store(makeStore(settings.platform, *m_platformClient, m_metrics))
     , m_platformVms(makeVmList(settings, *m_platformClient))
     , m_vmList(*m_platformVms, m_config,
--- a/main/node.h
+++ b/main/node.h
@@ -75,8 +75,8 @@
     const std::uint64_t m_incarnation;
     ControlLoop m_loop;
     // Platform and upstream calls have a loop each, so that token traffic never delays a claim.
-    std::unique_ptr<CurlUpstreamClient> m_platformClient = std::make_unique<CurlUpstreamClient>();
-    std::unique_ptr<CurlUpstreamClient> m_upstreamClient = std::make_unique<CurlUpstreamClient>();
+    std::unique_ptr<CurlUpstreamClient> m_platformClient;
+    std::unique_ptr<CurlUpstreamClient> m_upstreamClient;
     std::unique_ptr<ObjectStore> m_store;
     std::unique_ptr<VmList> m_platformVms;
     UpstreamVmFilter m_vmList;
