--- a/main/node.cpp
+++ b/main/node.cpp
@@ -84,12 +84,6 @@
     , m_placedConfig(m_config, m_placement)
     , m_admission(m_loop, m_bus, m_membership, m_placedConfig, m_metrics,
                   {settings.domain, settings.schedulingPolicy})
-    , m_loadPoller(
-              m_loop, *m_platformClient, m_config,
-              [this] { return m_admission.scheduledUpstreams(); },
-              [this](const auto &id, const auto &load) {
-                  m_admission.observeQueued(id, load.queued);
-              })
     , m_answers(PathSettings{}.storedAnswerBytes, PathSettings{}.storedAnswerTime)
     , m_path(PathServices{m_clock, m_metrics, m_config, m_admission, m_claims, *m_upstreamClient,
                           m_retries, m_rates, m_answers, pathSettings(settings.caller)})
@@ -178,7 +172,6 @@
         return false;
     }
     m_loop.run([this] { m_admission.start(); });
-    m_loadPoller.start();
     m_membership.start();
     m_config.start();
     m_lifecycle.start();
--- a/main/node.h
+++ b/main/node.h
@@ -8,7 +8,6 @@
 #include "drivers/zeromq/zeromq_transport.h"
 #include "main/node_operator_backend.h"
 #include "servers/admission/admission_service.h"
-#include "servers/admission/load_poller.h"
 #include "servers/caller/caller_service.h"
 #include "servers/claims/claim_service.h"
 #include "servers/config/config_service.h"
@@ -89,7 +88,6 @@
     PlacementService m_placement;
     PlacedConfigSource m_placedConfig;
     AdmissionService m_admission;
-    LoadPoller m_loadPoller;
     BudgetedRetries m_retries;
     SharedRateLimiter m_rates;
     AnswerStore m_answers;
--- a/servers/admission/admission_service.cpp
+++ b/servers/admission/admission_service.cpp
@@ -87,17 +87,6 @@
     });
 }
 
-void AdmissionService::observeQueued(const UpstreamId &upstream, std::uint32_t queued)
-{
-    // The engine's count of running requests lags by an unknown time, so that a comparison with
-    // this owner's own counts would take finished requests for those of others. It is left out.
-    peer::UpstreamReports reports;
-    auto &report = *reports.add_reports();
-    report.set_upstream(upstream.value);
-    report.set_queued(queued);
-    m_owner.onLoadReports(reports, m_loop.now());
-}
-
 void AdmissionService::onMessage(const NodeId &sender, const peer::Envelope &message)
 {
     const TimePoint now = m_loop.now();
--- a/servers/admission/admission_service.h
+++ b/servers/admission/admission_service.h
@@ -47,12 +47,6 @@
     /** @return the counts of this node's schedulers; on the control thread. */
     SchedulerStats stats() const { return m_owner.stats(); }
 
-    /** @return the upstreams of the groups that this node schedules; control thread only. */
-    std::vector<UpstreamId> scheduledUpstreams() { return m_owner.ownedUpstreams(); }
-
-    /** Takes the number of requests that wait inside an engine; control thread only. */
-    void observeQueued(const UpstreamId &upstream, std::uint32_t queued);
-
     /** @return this node's requests that wait or run, by group; control thread only. */
     std::map<GroupId, double> demand() const { return m_requester.demand(); }
 
--- a/servers/admission/group_owner.cpp
+++ b/servers/admission/group_owner.cpp
@@ -156,18 +156,6 @@
     sendLoad(sender, id, now);
 }
 
-std::vector<UpstreamId> GroupOwner::ownedUpstreams()
-{
-    std::vector<UpstreamId> upstreams;
-    for (const auto &[id, group] : m_groups) {
-        if (m_world.directory.ownerOf(id) != m_world.self)
-            continue;
-        for (const auto &it : m_world.directory.upstreamsOf(id))
-            upstreams.push_back(it.id);
-    }
-    return upstreams;
-}
-
 void GroupOwner::onLoadReports(const peer::UpstreamReports &message, TimePoint now)
 {
     for (auto &[id, group] : m_groups) {
--- a/servers/admission/group_owner.h
+++ b/servers/admission/group_owner.h
@@ -37,12 +37,6 @@
     /** @return the sum of the counts of all schedulers here. */
     SchedulerStats stats() const;
 
-    /** @return the upstreams of the groups in use that this node owns. */
-    std::vector<UpstreamId> ownedUpstreams();
-
-    /** Takes what upstreams report about their load. */
-    void onLoadReports(const peer::UpstreamReports &message, TimePoint now);
-
 private:
     struct Group
     {
@@ -75,6 +69,7 @@
     void onRelease(const peer::GrantRelease &message, TimePoint now);
     void onProgress(const peer::GrantProgress &message, TimePoint now);
     void onReport(const NodeId &sender, const peer::GrantReport &message, TimePoint now);
+    void onLoadReports(const peer::UpstreamReports &message, TimePoint now);
     void apply(const GroupId &id, const SchedulerActions &actions, TimePoint now);
     void sendGrant(const GroupId &id, const GrantAction &action, TimePoint now);
     void sendRefusal(const GroupId &id, const RefuseAction &action, TimePoint now);
