Use the retry policy in the request path and read files in one place

A node logs when its initial configuration cannot be read. Conclusion: the daemon and embedders decide on retries by the same code.

--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/ulfius_http_server.h"
 
+#include "core/file_text.h"
 #include "core/logger.h"
 #include "drivers/http/connection_table.h"
 
@@ -14,8 +15,6 @@
 #include <array>
 #include <cctype>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 
 namespace hawthornslip {
 
@@ -29,12 +28,6 @@
 constexpr std::size_t kStreamBlockBytes = 16 << 10;
 constexpr int kListenBacklog = 1024;
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-}
-
 std::string textOf(const char *text)
 {
     return text == nullptr ? std::string() : std::string(text);
@@ -222,8 +215,8 @@
 {
     if (m_settings.tls.certificate.empty() && m_settings.tls.key.empty())
         return true;
-    tls.certificate = readFile(m_settings.tls.certificate);
-    tls.key = readFile(m_settings.tls.key);
+    tls.certificate = readFileText(m_settings.tls.certificate).value_or("");
+    tls.key = readFileText(m_settings.tls.key).value_or("");
     if (!tls.certificate.empty() && !tls.key.empty())
         return true;
     logEvent(LogLevel::Error, "tls_files_unreadable",
--- a/drivers/toml/settings_reader.cpp
+++ b/drivers/toml/settings_reader.cpp
@@ -1,13 +1,12 @@
 #include "drivers/toml/settings_reader.h"
 
+#include "core/file_text.h"
 #include "core/nearest_name.h"
 #include "drivers/toml/settings_schema.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
 
 namespace hawthornslip {
 
@@ -120,14 +119,13 @@
 
 SettingsResult readSettings(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
+    const auto text = readFileText(path);
+    if (!text) {
         SettingsResult result;
         result.faults.push_back({"", 0, "the file cannot be read"});
         return result;
     }
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    return parseSettings(text);
+    return parseSettings(*text);
 }
 
 std::string formatFault(const std::string &path, const SettingsFault &fault)
--- a/main/commands/config_check.cpp
+++ b/main/commands/config_check.cpp
@@ -1,14 +1,12 @@
 #include "main/commands/config_check.h"
 
+#include "core/file_text.h"
 #include "drivers/toml/settings_reader.h"
 #include "modules/config/config_document.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <fstream>
-#include <iterator>
-
 namespace hawthornslip {
 
 namespace {
@@ -34,12 +32,11 @@
 
 std::vector<PrintedFault> checkDocument(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
+    const auto text = readFileText(path);
+    if (!text)
         return {{path + ": the file cannot be read", {{"message", "the file cannot be read"}}}};
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     std::vector<PrintedFault> faults;
-    for (const auto &it : ConfigDocument::parse(text).faults) {
+    for (const auto &it : ConfigDocument::parse(*text).faults) {
         faults.push_back({fmt::format("{}: {}: {}", path, it.path, it.message),
                           {{"path", it.path}, {"message", it.message}}});
     }
--- a/main/commands/load_command.cpp
+++ b/main/commands/load_command.cpp
@@ -1,3 +1,4 @@
+#include "core/file_text.h"
 #include "drivers/http/curl_upstream_client.h"
 #include "drivers/system/system_clock.h"
 #include "main/commands/command.h"
@@ -6,8 +7,6 @@
 
 #include <fmt/format.h>
 
-#include <fstream>
-#include <iterator>
 #include <memory>
 #include <optional>
 
@@ -17,14 +16,13 @@
 
 std::optional<LoadSpec> readSpec(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
+    const auto text = readFileText(path);
+    if (!text) {
         fmt::print(stderr, "{}: the file cannot be read\n", path);
         return std::nullopt;
     }
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     try {
-        return readLoadSpec(text);
+        return readLoadSpec(*text);
     } catch (const std::invalid_argument &error) {
         fmt::print(stderr, "{}: {}\n", path, error.what());
         return std::nullopt;
--- a/main/commands/operator_options.cpp
+++ b/main/commands/operator_options.cpp
@@ -1,12 +1,10 @@
 #include "main/commands/operator_options.h"
 
+#include "core/file_text.h"
 #include "drivers/http/curl_upstream_client.h"
 
 #include <fmt/format.h>
 
-#include <fstream>
-#include <iterator>
-
 namespace hawthornslip {
 
 namespace {
@@ -63,14 +61,13 @@
 
 std::optional<nlohmann::json> readJsonFile(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
+    const auto text = readFileText(path);
+    if (!text) {
         fmt::print(stderr, "{}: the file cannot be read\n", path);
         return std::nullopt;
     }
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     try {
-        return nlohmann::json::parse(text);
+        return nlohmann::json::parse(*text);
     } catch (const nlohmann::json::parse_error &error) {
         fmt::print(stderr, "{}: {}\n", path, error.what());
         return std::nullopt;
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -1,5 +1,6 @@
 #include "main/node.h"
 
+#include "core/file_text.h"
 #include "core/logger.h"
 #include "core/metric_names.h"
 #include "drivers/object_store/http_object_store.h"
@@ -9,8 +10,6 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
-#include <fstream>
-#include <iterator>
 #include <thread>
 
 namespace hawthornslip {
@@ -214,9 +213,13 @@
 
 void Node::applyInitialConfig()
 {
-    std::ifstream file(m_settings.initialConfigFile, std::ios::binary);
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    m_config.apply(text, [this](const ApplyResultInfo &result) {
+    const auto text = readFileText(m_settings.initialConfigFile);
+    if (!text) {
+        logEvent(LogLevel::Error, "initial_config_unreadable",
+                 {{"file", m_settings.initialConfigFile}});
+        return;
+    }
+    m_config.apply(*text, [this](const ApplyResultInfo &result) {
         // Of several nodes that start at once one wins; the others read its document.
         if (result.status == ApplyStatus::Accepted || result.status == ApplyStatus::Conflict)
             return;
--- a/modules/retry/retry_policy.cpp
+++ b/modules/retry/retry_policy.cpp
@@ -4,25 +4,28 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxAttempts = 4;
 // With less time than this the repeat would end after the deadline and be thrown away.
 constexpr Duration kMinRemaining = milliseconds(20);
 
 } // namespace
 
-RetryDecision RetryPolicy::decide(const Profile &profile, const FailedAttempt &failed,
-                                  RetryBudget &budget)
+RetryDecision RetryPolicy::decide(const Profile &profile, const FailedAttempt &failed)
 {
-    if (failed.attempts >= kMaxAttempts || failed.remaining < kMinRemaining)
+    if (failed.attempts >= failed.maxAttempts || failed.remaining < kMinRemaining)
         return RetryDecision::Stop;
     if (!profile.idempotent && !failed.certainlyNotRun)
         return RetryDecision::Stop;
+    if (failed.tokensRelayed == 0)
+        return RetryDecision::Retry;
     // Tokens that the caller has cannot be taken back; only a continuation may follow them.
-    if (failed.tokensRelayed > 0 && !profile.resumable)
-        return RetryDecision::Stop;
-    if (!budget.tryTake())
-        return RetryDecision::Stop;
-    return failed.tokensRelayed > 0 ? RetryDecision::Resume : RetryDecision::Retry;
+    return profile.resumable && failed.resumable ? RetryDecision::Resume : RetryDecision::Stop;
+}
+
+RetryDecision RetryPolicy::decide(const Profile &profile, const FailedAttempt &failed,
+                                  RetryBudget &budget)
+{
+    const auto decision = decide(profile, failed);
+    return decision == RetryDecision::Stop || budget.tryTake() ? decision : RetryDecision::Stop;
 }
 
 } // namespace hawthornslip
--- a/modules/retry/retry_policy.h
+++ b/modules/retry/retry_policy.h
@@ -19,6 +19,10 @@
     std::uint32_t tokensRelayed = 0;
     /** Time left until the caller's deadline. */
     Duration remaining{0};
+    /** Most attempts of one request. */
+    std::uint32_t maxAttempts = 4;
+    /** The kind of answer can be continued at another upstream. */
+    bool resumable = true;
 };
 
 /** What follows a failed attempt. */
@@ -35,6 +39,12 @@
 class RetryPolicy
 {
 public:
+    /**
+     * Decides about @p failed; a repeat still has to be paid for from the budget. A non-idempotent
+     * request is repeated only when it certainly was not run.
+     */
+    static RetryDecision decide(const Profile &profile, const FailedAttempt &failed);
+
     /**
      * Decides about @p failed and spends from @p budget when it answers Retry or Resume. A
      * non-idempotent request is repeated only when it certainly was not run.
--- a/servers/config/config_service.cpp
+++ b/servers/config/config_service.cpp
@@ -27,7 +27,7 @@
     , m_clock(clock)
     , m_options(options)
     , m_random(seed)
-    , m_statusDesk(loop, bus, membership)
+    , m_statusCollector(loop, bus, membership)
     , m_retryDelay(options.retryDelay)
 {
     registerHandlers();
@@ -63,7 +63,7 @@
 
 void ConfigService::setStatusProvider(std::function<NodeFacts()> provider)
 {
-    m_statusDesk.setProvider([this, provider = std::move(provider)] {
+    m_statusCollector.setProvider([this, provider = std::move(provider)] {
         NodeFacts facts = provider();
         facts.generation = m_adopter.generation();
         return facts;
@@ -233,7 +233,7 @@
                                  std::function<void(const NodesInForce &)> done)
 {
     m_loop.post([this, generation, wait, done = std::move(done)]() mutable {
-        m_statusDesk.ask(m_random(), generation, wait, std::move(done));
+        m_statusCollector.ask(m_random(), generation, wait, std::move(done));
     });
 }
 
--- a/servers/config/config_service.h
+++ b/servers/config/config_service.h
@@ -7,7 +7,7 @@
 #include "servers/config/config_snapshot.h"
 #include "servers/config/config_source.h"
 #include "servers/config/config_writer.h"
-#include "servers/config/node_status_desk.h"
+#include "servers/config/node_status_collector.h"
 #include "servers/membership/membership_source.h"
 #include "servers/peer/control_loop.h"
 #include "servers/peer/peer_bus.h"
@@ -127,7 +127,7 @@
     std::mt19937_64 m_random;
     ConfigAdopter m_adopter;
     ConfigSnapshot m_snapshot;
-    NodeStatusDesk m_statusDesk;
+    NodeStatusCollector m_statusCollector;
     std::string m_text;
     std::vector<Listener> m_listeners;
     std::deque<ConfigHistoryEntry> m_history;
--- a/servers/config/node_status_desk.cpp
+++ b/servers/config/node_status_collector.cpp
@@ -1,4 +1,4 @@
-#include "servers/config/node_status_desk.h"
+#include "servers/config/node_status_collector.h"
 
 #include <algorithm>
 #include <utility>
@@ -28,7 +28,8 @@
     return list;
 }
 
-NodeStatusDesk::NodeStatusDesk(ControlLoop &loop, PeerBus &bus, MembershipSource &membership)
+NodeStatusCollector::NodeStatusCollector(ControlLoop &loop, PeerBus &bus,
+                                         MembershipSource &membership)
     : m_loop(loop)
     , m_bus(bus)
     , m_membership(membership)
@@ -42,7 +43,8 @@
     });
 }
 
-void NodeStatusDesk::ask(std::uint64_t queryId, std::uint64_t generation, Duration wait, Done done)
+void NodeStatusCollector::ask(std::uint64_t queryId, std::uint64_t generation, Duration wait,
+                              Done done)
 {
     Poll &poll = m_polls[queryId];
     poll.generation = generation;
@@ -51,7 +53,7 @@
     repeat(queryId);
 }
 
-void NodeStatusDesk::repeat(std::uint64_t queryId)
+void NodeStatusCollector::repeat(std::uint64_t queryId)
 {
     const auto it = m_polls.find(queryId);
     if (it == m_polls.end())
@@ -74,7 +76,7 @@
     finishIfAll(queryId);
 }
 
-void NodeStatusDesk::onQuery(const NodeId &sender, const peer::NodeStatusQuery &query)
+void NodeStatusCollector::onQuery(const NodeId &sender, const peer::NodeStatusQuery &query)
 {
     const NodeFacts facts = m_provider ? m_provider() : NodeFacts{};
     peer::Envelope message;
@@ -86,7 +88,7 @@
     m_bus.send(sender, std::move(message));
 }
 
-void NodeStatusDesk::onStatus(const NodeId &sender, const peer::NodeStatus &status)
+void NodeStatusCollector::onStatus(const NodeId &sender, const peer::NodeStatus &status)
 {
     const auto it = m_polls.find(status.query_id());
     if (it == m_polls.end())
@@ -98,20 +100,20 @@
     finishIfAll(status.query_id());
 }
 
-void NodeStatusDesk::finishIfAll(std::uint64_t queryId)
+void NodeStatusCollector::finishIfAll(std::uint64_t queryId)
 {
     const auto it = m_polls.find(queryId);
     if (it != m_polls.end() && resultOf(it->second).all())
         finish(queryId);
 }
 
-void NodeStatusDesk::finish(std::uint64_t queryId)
+void NodeStatusCollector::finish(std::uint64_t queryId)
 {
     auto poll = m_polls.extract(queryId);
     poll.mapped().done(resultOf(poll.mapped()));
 }
 
-NodesInForce NodeStatusDesk::resultOf(const Poll &poll) const
+NodesInForce NodeStatusCollector::resultOf(const Poll &poll) const
 {
     NodesInForce result;
     result.generation = poll.generation;
--- a/servers/config/node_status_desk.h
+++ b/servers/config/node_status_collector.h
@@ -51,14 +51,14 @@
  * Asks the live nodes for their state and answers when they ask. Runs on the control loop's
  * thread.
  */
-class NodeStatusDesk
+class NodeStatusCollector
 {
 public:
     using Done = std::function<void(const NodesInForce &)>;
     using Provider = std::function<NodeFacts()>;
 
     /** Registers with @p bus; all references have to outlive this object. */
-    NodeStatusDesk(ControlLoop &loop, PeerBus &bus, MembershipSource &membership);
+    NodeStatusCollector(ControlLoop &loop, PeerBus &bus, MembershipSource &membership);
 
     /** Sets what this node answers. */
     void setProvider(Provider provider) { m_provider = std::move(provider); }
--- a/servers/request_path/request_run_attempts.cpp
+++ b/servers/request_path/request_run_attempts.cpp
@@ -1,6 +1,7 @@
 // The part of RequestRun that starts, repeats and ends attempts.
 #include "core/logger.h"
 #include "core/metric_names.h"
+#include "modules/retry/retry_policy.h"
 #include "servers/request_path/error_answer.h"
 #include "servers/request_path/request_run.h"
 #include "servers/request_path/upstream_message.h"
@@ -148,13 +149,14 @@
 
 bool RequestRun::mayRepeat(const AttemptVerdict &verdict)
 {
-    if (m_retries >= m_services.settings.maxRetries ||
-        verdict.error.reason == Reason::DeadlineExceeded)
-        return false;
-    const bool certainlyNotRun = verdict.error.execution == Execution::NotRun && !m_mayHaveRun;
-    if (!certainlyNotRun && !idempotent())
-        return false;
-    if (started() && !mayResume())
+    FailedAttempt failed;
+    failed.certainlyNotRun = verdict.error.execution == Execution::NotRun && !m_mayHaveRun;
+    failed.attempts = m_retries + 1;
+    failed.maxAttempts = m_services.settings.maxRetries + 1;
+    failed.resumable = mayResume();
+    failed.tokensRelayed = started() ? std::max(m_context.figures.tokens, 1U) : 0;
+    failed.remaining = m_context.deadline - m_services.clock.now();
+    if (RetryPolicy::decide(*m_context.profile, failed) == RetryDecision::Stop)
         return false;
     return verdict.freeRepeat ||
            m_services.retries.take(*m_context.profile, m_services.clock.now());
--- a/tests/drivers/standins_test.cpp
+++ b/tests/drivers/standins_test.cpp
@@ -129,20 +129,21 @@
     void oldFencingNumberIsRefused()
     {
         for (const bool checks : {true, false}) {
-            OrderDesk desk({"default"}, checks, Duration(0));
+            OrderHandler handler({"default"}, checks, Duration(0));
             const std::string order = R"({"kind":"set_role","value":"v","fencing":)";
-            CPPUNIT_ASSERT_EQUAL(200, desk.take(TimePoint{}, order + "5}").status);
-            CPPUNIT_ASSERT_EQUAL(checks ? 409 : 200, desk.take(TimePoint{}, order + "4}").status);
+            CPPUNIT_ASSERT_EQUAL(200, handler.take(TimePoint{}, order + "5}").status);
+            CPPUNIT_ASSERT_EQUAL(checks ? 409 : 200,
+                                 handler.take(TimePoint{}, order + "4}").status);
         }
     }
 
     void modelIsUsableOnlyAfterItsLoad()
     {
-        OrderDesk desk({}, true, seconds(2));
+        OrderHandler handler({}, true, seconds(2));
         const TimePoint start{seconds(10)};
-        desk.take(start, R"({"kind":"load_model","model":"m","fencing":1})");
-        CPPUNIT_ASSERT(!desk.serves(start + seconds(1), "m"));
-        CPPUNIT_ASSERT(desk.serves(start + seconds(2), "m"));
+        handler.take(start, R"({"kind":"load_model","model":"m","fencing":1})");
+        CPPUNIT_ASSERT(!handler.serves(start + seconds(1), "m"));
+        CPPUNIT_ASSERT(handler.serves(start + seconds(2), "m"));
     }
 
     void conditionalWriteAndWatch()
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -3,7 +3,7 @@
 #include "tests/standins/batch_model.h"
 #include "tests/standins/crashable_host.h"
 #include "tests/standins/engine_stream.h"
-#include "tests/standins/order_desk.h"
+#include "tests/standins/order_handler.h"
 #include "tests/standins/prefix_cache.h"
 #include "tests/standins/run_log.h"
 
@@ -76,7 +76,7 @@
     std::uint16_t port() const { return m_host.http().port(); }
     const EngineSpec &spec() const { return m_spec; }
     const RunLog &runs() const { return m_runs; }
-    OrderDesk &orders() { return m_orders; }
+    OrderHandler &orders() { return m_orders; }
     /** @return the requests running now. */
     std::uint32_t running() const;
 
@@ -104,7 +104,7 @@
 
     EngineSpec m_spec;
     RunLog m_runs;
-    OrderDesk m_orders;
+    OrderHandler m_orders;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     BatchModel m_batch;
--- a/tests/standins/order_desk.cpp
+++ b/tests/standins/order_handler.cpp
@@ -1,4 +1,4 @@
-#include "tests/standins/order_desk.h"
+#include "tests/standins/order_handler.h"
 
 #include <nlohmann/json.hpp>
 
@@ -6,7 +6,7 @@
 
 namespace hawthornslip::standin {
 
-OrderDesk::OrderDesk(std::vector<std::string> models, bool checksFencing, Duration modelLoad)
+OrderHandler::OrderHandler(std::vector<std::string> models, bool checksFencing, Duration modelLoad)
     : m_checksFencing(checksFencing)
     , m_modelLoad(modelLoad)
 {
@@ -14,7 +14,7 @@
         m_models[std::move(it)] = TimePoint{};
 }
 
-HttpReply OrderDesk::take(TimePoint now, const std::string &body)
+HttpReply OrderHandler::take(TimePoint now, const std::string &body)
 {
     const auto json = nlohmann::json::parse(body, nullptr, false);
     if (!json.is_object() || !json.contains("kind"))
@@ -31,7 +31,7 @@
     return jsonReply(200, "{}");
 }
 
-void OrderDesk::apply(TimePoint now, const TakenOrder &order)
+void OrderHandler::apply(TimePoint now, const TakenOrder &order)
 {
     // An order states what should be; repeating it changes nothing.
     if (order.kind == "load_model")
@@ -42,14 +42,14 @@
         m_role = order.value;
 }
 
-bool OrderDesk::serves(TimePoint now, const std::string &model) const
+bool OrderHandler::serves(TimePoint now, const std::string &model) const
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_models.find(model);
     return it != m_models.end() && it->second <= now;
 }
 
-std::vector<std::string> OrderDesk::models(TimePoint now) const
+std::vector<std::string> OrderHandler::models(TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
     std::vector<std::string> result;
@@ -60,13 +60,13 @@
     return result;
 }
 
-std::string OrderDesk::role() const
+std::string OrderHandler::role() const
 {
     const std::lock_guard lock(m_mutex);
     return m_role;
 }
 
-std::vector<TakenOrder> OrderDesk::taken() const
+std::vector<TakenOrder> OrderHandler::taken() const
 {
     const std::lock_guard lock(m_mutex);
     return m_taken;
--- a/tests/standins/order_desk.h
+++ b/tests/standins/order_handler.h
@@ -22,14 +22,14 @@
 };
 
 /** The models, adapters, version and role of an engine, and the orders that changed them. */
-class OrderDesk
+class OrderHandler
 {
 public:
     /**
      * @param checksFencing refuses an order with a fencing number below the highest one seen.
      * @param modelLoad time from the order until a model can be used.
      */
-    OrderDesk(std::vector<std::string> models, bool checksFencing, Duration modelLoad);
+    OrderHandler(std::vector<std::string> models, bool checksFencing, Duration modelLoad);
 
     /** Answers `POST /orders`. */
     HttpReply take(TimePoint now, const std::string &body);
