Word operator errors and read example files in one place

Cause: the operator service and its backend each had the same function for error answers, and the example run read files on its own. Change: errorAnswer() stands beside OperatorAnswer; the example run calls readFileText(). Behaviour is the same. Conclusion: one place each.

--- a/bench/example_run.cpp
+++ b/bench/example_run.cpp
@@ -1,6 +1,7 @@
 #include "bench/example_run.h"
 
 #include "bench/verification.h"
+#include "core/file_text.h"
 #include "drivers/http/curl_upstream_client.h"
 #include "drivers/system/system_clock.h"
 #include "servers/load_generator/load_generator.h"
@@ -10,9 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <stdexcept>
 
 namespace hawthornslip::bench {
@@ -25,12 +24,10 @@
 
 std::string readFile(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file)
+    const auto text = readFileText(path);
+    if (!text)
         throw std::runtime_error(path + " cannot be read");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return *text;
 }
 
 std::uint16_t portOf(const std::string &url)
--- a/main/node_operator_backend.cpp
+++ b/main/node_operator_backend.cpp
@@ -9,11 +9,6 @@
 
 using Json = nlohmann::json;
 
-OperatorAnswer errorAnswer(int status, const std::string &code, const std::string &message)
-{
-    return {status, {{"error", {{"code", code}, {"message", message}}}}};
-}
-
 OperatorAnswer conflictAnswer(const ApplyResultInfo &result)
 {
     auto answer = errorAnswer(409, "conflict",
--- a/servers/operator/operator_backend.h
+++ b/servers/operator/operator_backend.h
@@ -15,6 +15,12 @@
     nlohmann::json body;
 };
 
+/** @return an error answer: a code for programs and a message for people. */
+inline OperatorAnswer errorAnswer(int status, const std::string &code, const std::string &message)
+{
+    return {status, {{"error", {{"code", code}, {"message", message}}}}};
+}
+
 /** What the operator service can ask of its node. Calls block and come from any thread. */
 class OperatorBackend
 {
--- a/servers/operator/operator_service.cpp
+++ b/servers/operator/operator_service.cpp
@@ -21,11 +21,6 @@
 // A drain is repeated when another operator's change was accepted in between.
 constexpr int kDrainAttempts = 3;
 
-OperatorAnswer errorAnswer(int status, const std::string &code, const std::string &message)
-{
-    return {status, {{"error", {{"code", code}, {"message", message}}}}};
-}
-
 HttpAnswer toHttp(const OperatorAnswer &answer)
 {
     HttpAnswer http;
