--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -22,11 +22,14 @@
 hawthornslip_layer(servers)
 target_link_libraries(hawthornslip_servers PUBLIC hawthornslip_modules hawthornslip_proto PkgConfig::SODIUM)
 
+hawthornslip_layer(platform)
+target_link_libraries(hawthornslip_platform PUBLIC hawthornslip_modules)
+
 file(GLOB_RECURSE main_sources CONFIGURE_DEPENDS main/*.cpp)
-list(FILTER main_sources EXCLUDE REGEX "/main/main\\.cpp$")
+list(FILTER main_sources EXCLUDE REGEX "/main/(gateway_)?main\\.cpp$")
 add_library(hawthornslip_main STATIC ${main_sources})
 target_include_directories(hawthornslip_main PUBLIC ${CMAKE_SOURCE_DIR})
-target_link_libraries(hawthornslip_main PUBLIC hawthornslip_servers hawthornslip_drivers)
+target_link_libraries(hawthornslip_main PUBLIC hawthornslip_servers hawthornslip_drivers hawthornslip_platform)
 add_executable(hawthornslip main/main.cpp)
 target_link_libraries(hawthornslip PRIVATE hawthornslip_main)
 
--- /dev/null
+++ b/cmake/gateway.cmake
@@ -0,0 +1,12 @@
+# The program for the users' platform: the gateway alone. It needs neither ulfius nor libcurl, so that its
+# build can take the packaged headers of prometheus-cpp, which conflict with those of ulfius.
+find_path(PROMETHEUS_INCLUDE prometheus/registry.h HINTS "${HAWTHORNSLIP_PROMETHEUS_INCLUDE}" REQUIRED)
+file(GLOB gateway_sources CONFIGURE_DEPENDS
+    drivers/asio/*.cpp servers/state/*.cpp servers/gateway/*.cpp platform/*.cpp)
+list(APPEND gateway_sources drivers/prometheus/prometheus_metrics.cpp drivers/toml/gateway_settings_reader.cpp
+    drivers/toml/settings_keys.cpp drivers/toml/toml_document.cpp main/gateway_main.cpp main/gateway_process.cpp
+    main/commands/gateway_command.cpp main/commands/command.cpp main/version.cpp)
+add_executable(hawthornslip ${gateway_sources})
+target_include_directories(hawthornslip PRIVATE ${CMAKE_SOURCE_DIR})
+target_include_directories(hawthornslip SYSTEM PRIVATE ${PROMETHEUS_INCLUDE})
+target_link_libraries(hawthornslip PRIVATE hawthornslip_modules -l:libprometheus-cpp-core.so.1.0)
--- a/core/interfaces/http_server.h
+++ b/core/interfaces/http_server.h
@@ -19,6 +19,9 @@
 /** @return the value of the header @p lowerName, or nullptr; names in @p headers are lower case. */
 const std::string *findHeader(const HttpHeaders &headers, std::string_view lowerName);
 
+/** @return true when header @p lowerName concerns a single connection and is not relayed. */
+bool isConnectionHeader(std::string_view lowerName);
+
 /** A request as received. */
 struct HttpRequest
 {
--- a/core/interfaces/upstream_client.h
+++ b/core/interfaces/upstream_client.h
@@ -30,6 +30,14 @@
      * request when a kept-alive connection turns out to be closed.
      */
     bool sendOnce = false;
+    /**
+     * A header, in lower case, that every answer to this request repeats with this value. A whole
+     * answer with another value belongs to an earlier request on the connection and is skipped.
+     */
+    std::string tagHeader;
+    std::string tag;
+    /** Takes a connection that was used before only when it was idle for less than this. */
+    Duration reuseWithin = seconds(3600);
 };
 
 /** How a call to a back end ended. */
@@ -52,6 +60,8 @@
     UpstreamResult result = UpstreamResult::Broken;
     int httpStatus = 0;
     std::string message;
+    /** The upstream asked to close the connection, as one does that is leaving. */
+    bool closing = false;
 };
 
 /** Receives the answer of one call, on the driver's thread; must not block. */
--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -3,10 +3,15 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <mutex>
+#include <string>
 
 namespace hawthornslip {
 
@@ -14,6 +19,69 @@
 
 std::atomic<LogLevel> lowestLevel{LogLevel::Info};
 
+std::atomic<LogOutput> output{LogOutput::StandardError};
+
+/** Lines for standard output that were not written yet. */
+class LineBuffer
+{
+public:
+    void add(const std::string &line)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_lines.size() + line.size() > kMaxBytes) {
+            ++m_dropped;
+            return;
+        }
+        m_lines += line;
+    }
+
+    void flush()
+    {
+        const std::lock_guard lock(m_mutex);
+        noteDropped();
+        std::size_t written = 0;
+        while (written < m_lines.size() && isWritable()) {
+            const std::size_t size = std::min(kPieceBytes, m_lines.size() - written);
+            const auto n = ::write(STDOUT_FILENO, m_lines.data() + written, size);
+            if (n <= 0)
+                break;
+            written += static_cast<std::size_t>(n);
+        }
+        m_lines.erase(0, written);
+    }
+
+private:
+    static constexpr std::size_t kMaxBytes = 256 << 10;
+    // A pipe that polls as writable takes this much without blocking.
+    static constexpr std::size_t kPieceBytes = 4096;
+
+    static bool isWritable()
+    {
+        pollfd state{STDOUT_FILENO, POLLOUT, 0};
+        return ::poll(&state, 1, 0) > 0 && (state.revents & POLLOUT) != 0;
+    }
+
+    void noteDropped()
+    {
+        if (m_dropped == 0 || m_lines.size() > kMaxBytes / 2)
+            return;
+        m_lines += fmt::format(R"({{"level":"warning","event":"log_lines_dropped","lines":{}}})"
+                               "\n",
+                               m_dropped);
+        m_dropped = 0;
+    }
+
+    std::mutex m_mutex;
+    std::string m_lines;
+    std::uint64_t m_dropped = 0;
+};
+
+LineBuffer &lineBuffer()
+{
+    static LineBuffer buffer;
+    return buffer;
+}
+
 struct FieldFormatter
 {
     std::string operator()(std::string_view text) const { return jsonQuote(text); }
@@ -34,6 +102,16 @@
     return level >= lowestLevel.load(std::memory_order_relaxed);
 }
 
+void setLogOutput(LogOutput where)
+{
+    output.store(where, std::memory_order_relaxed);
+}
+
+void flushLog()
+{
+    lineBuffer().flush();
+}
+
 std::string jsonQuote(std::string_view text)
 {
     using Json = nlohmann::json;
@@ -62,6 +140,10 @@
     const auto unixMillis =
             std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
     const std::string line = formatLogLine(unixMillis, level, event, fields) + '\n';
+    if (output.load(std::memory_order_relaxed) == LogOutput::StandardOutput) {
+        lineBuffer().add(line);
+        return;
+    }
     // One write a line keeps lines of several threads apart.
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- a/core/logger.h
+++ b/core/logger.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <variant>
 
-/** Structured logs: one JSON object a line on standard error. */
+/** Structured logs: one JSON object a line. */
 namespace hawthornslip {
 
 /** Severity of a log line, lowest first. */
@@ -57,6 +57,21 @@
 /** Sets the lowest level that is written; the default is Info. */
 void setLogLevel(LogLevel level);
 
+/** Where lines go. */
+enum class LogOutput {
+    /** Each line at once. */
+    StandardError,
+    /** Lines are collected until flushLog() and never block; those that find no room are counted.
+     */
+    StandardOutput
+};
+
+/** Sets where lines go; the default is standard error. */
+void setLogOutput(LogOutput output);
+
+/** Writes what standard output takes without blocking. */
+void flushLog();
+
 /** @return true when lines of @p level are written. */
 bool logEnabled(LogLevel level);
 
--- /dev/null
+++ b/drivers/asio/asio_event_loop.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/interfaces/event_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace hawthornslip {
+
+/**
+ * An event loop on epoll. Its clock counts the time that the machine was suspended, so that
+ * beliefs age while the process stands still.
+ */
+class AsioEventLoop : public EventLoop
+{
+public:
+    AsioEventLoop();
+
+    TimePoint now() const override;
+    UnixMillis wallNow() const override;
+    TimerId after(Duration delay, Task task) override;
+    void cancel(TimerId timer) override;
+
+    /** Runs until stop(). */
+    void run();
+    void stop() { m_context.stop(); }
+
+    boost::asio::io_context &context() { return m_context; }
+
+    /** A buffer for reads, shared as each read is consumed before the next one. */
+    std::array<char, 64 << 10> &scratch() { return m_scratch; }
+
+private:
+    void arm();
+    void runDue();
+
+    boost::asio::io_context m_context;
+    boost::asio::steady_timer m_wakeUp;
+    std::map<std::pair<TimePoint, TimerId>, Task> m_queue;
+    std::unordered_map<TimerId, TimePoint> m_due;
+    TimePoint m_armed = TimePoint::max();
+    TimerId m_lastTimer = 0;
+    std::array<char, 64 << 10> m_scratch{};
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/asio/asio_http_server.cpp
@@ -0,0 +1,113 @@
+#include "drivers/asio/asio_http_server.h"
+
+#include "core/logger.h"
+#include "drivers/asio/server_connection.h"
+#include "drivers/asio/socket_options.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace hawthornslip {
+
+namespace {
+
+// The pause after a failed accept, as when descriptors run out; without it the loop would spin.
+constexpr Duration kAcceptPause = milliseconds(20);
+// Callers that take no byte for this long are gone; the platform bounds an answer by 15 s.
+constexpr Duration kCallerSilence = seconds(9);
+
+} // namespace
+
+AsioHttpServer::AsioHttpServer(AsioEventLoop &loop, RequestSink &sink, std::size_t maxConnections)
+    : m_loop(loop)
+    , m_sink(sink)
+    , m_maxConnections(maxConnections)
+    , m_acceptor(loop.context())
+{}
+
+AsioHttpServer::~AsioHttpServer()
+{
+    stopAccepting();
+    for (auto *list : {&m_idle, &m_busy}) {
+        const auto all = *list;
+        for (const auto &it : all)
+            it->close();
+    }
+}
+
+bool AsioHttpServer::start(const ListenAddress &address)
+{
+    boost::system::error_code ec;
+    const auto ip = boost::asio::ip::make_address_v4(address.ip, ec);
+    if (ec)
+        return false;
+    const boost::asio::ip::tcp::endpoint endpoint(ip, address.port);
+    m_acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+    if (ec) {
+        logEvent(LogLevel::Error, "listen_failed",
+                 {{"ip", address.ip}, {"port", address.port}, {"error", ec.message()}});
+        return false;
+    }
+    accept();
+    return true;
+}
+
+std::uint16_t AsioHttpServer::port() const
+{
+    boost::system::error_code ec;
+    return m_acceptor.local_endpoint(ec).port();
+}
+
+void AsioHttpServer::stopAccepting()
+{
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
+}
+
+void AsioHttpServer::closeIdle()
+{
+    const auto all = m_idle;
+    for (const auto &it : all)
+        it->closeGracefully();
+}
+
+void AsioHttpServer::accept()
+{
+    m_acceptor.async_accept(
+            [this](const boost::system::error_code &ec, boost::asio::ip::tcp::socket socket) {
+                if (ec == boost::asio::error::operation_aborted)
+                    return;
+                if (ec) {
+                    logEvent(LogLevel::Warning, "accept_failed", {{"error", ec.message()}});
+                    m_loop.after(kAcceptPause, [this] { accept(); });
+                    return;
+                }
+                onAccepted(std::move(socket));
+                accept();
+            });
+}
+
+void AsioHttpServer::onAccepted(boost::asio::ip::tcp::socket socket)
+{
+    configureSocket(socket, kCallerSilence);
+    makeRoom();
+    const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+    m_idle.push_back(connection);
+    connection->start(std::prev(m_idle.end()));
+}
+
+void AsioHttpServer::makeRoom()
+{
+    if (connections() < m_maxConnections || m_idle.empty())
+        return;
+    logEvent(LogLevel::Warning, "idle_connection_closed", {{"open", connections()}});
+    const auto oldest = m_idle.front();
+    oldest->close();
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/asio/http_message_parser.cpp
@@ -0,0 +1,109 @@
+#include "drivers/asio/http_message_parser.h"
+
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace hawthornslip {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// Memory set aside at once for a body; a caller that announces more has to send it first.
+constexpr std::uint64_t kLargestReserve = 64 << 10;
+
+std::string lowerCase(boost::beast::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char it) { return it >= 'A' && it <= 'Z' ? it + 32 : it; });
+    return lower;
+}
+
+} // namespace
+
+void RequestParser::on_request_impl(Verb, View method, View target, int version, Error &)
+{
+    httpVersion = version;
+    request.method = std::string(method);
+    const auto mark = target.find('?');
+    request.path = std::string(target.substr(0, mark));
+    if (mark != View::npos)
+        request.query = std::string(target.substr(mark + 1));
+}
+
+void RequestParser::on_field_impl(Field field, View name, View value, Error &)
+{
+    if (field == Field::expect)
+        expectsContinue = lowerCase(value) == "100-continue";
+    request.headers.emplace_back(lowerCase(name), std::string(value));
+}
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &)
+{
+    if (length)
+        request.body.reserve(std::min(*length, kLargestReserve));
+}
+
+bool RequestParser::isFramingClear() const
+{
+    std::size_t lengths = 0;
+    for (const auto &[name, value] : request.headers) {
+        if (name == "transfer-encoding" && lowerCase(value) != "chunked")
+            return false;
+        lengths += name == "content-length" ? 1 : 0;
+    }
+    return lengths <= 1;
+}
+
+std::size_t RequestParser::on_body_impl(View body, Error &)
+{
+    request.body.append(body.data(), body.size());
+    return body.size();
+}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, View body, Error &)
+{
+    request.body.append(body.data(), body.size());
+    return body.size();
+}
+
+void AnswerParser::on_response_impl(int code, View, int, Error &)
+{
+    status = code;
+}
+
+void AnswerParser::on_field_impl(Field, View name, View value, Error &)
+{
+    headers.emplace_back(lowerCase(name), std::string(value));
+}
+
+std::size_t AnswerParser::on_body_impl(View piece, Error &)
+{
+    body.append(piece.data(), piece.size());
+    return piece.size();
+}
+
+std::size_t AnswerParser::on_chunk_body_impl(std::uint64_t, View piece, Error &)
+{
+    body.append(piece.data(), piece.size());
+    return piece.size();
+}
+
+void appendAnswerHead(std::string &out, int status, const HttpHeaders &headers)
+{
+    const auto reason = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+    fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n", status,
+                   std::string_view(reason.data(), reason.size()));
+    for (const auto &[name, value] : headers) {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/asio/server_connection.cpp
@@ -0,0 +1,427 @@
+#include "drivers/asio/server_connection.h"
+
+#include "core/logger.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// Bytes of pipelined requests that are kept while an answer is in progress.
+constexpr std::size_t kMaxPipelined = 64 << 10;
+// How long a closing connection waits for the caller's end, so that no answer is lost by a reset.
+constexpr Duration kLinger = seconds(1);
+constexpr int kNoContent = 204;
+constexpr int kHttp11 = 11;
+constexpr int kBadRequest = 400;
+constexpr int kNotModified = 304;
+
+bool hasBody(int status)
+{
+    return status != kNoContent && status != kNotModified;
+}
+
+} // namespace
+
+/** The writer that an exchange holds for one request of the connection. */
+class ServerConnection::Answer : public AnswerWriter
+{
+public:
+    Answer(std::shared_ptr<ServerConnection> connection, std::uint64_t request)
+        : m_connection(std::move(connection))
+        , m_request(request)
+    {}
+
+    void begin(int status, const HttpHeaders &headers, std::optional<std::size_t> length) override
+    {
+        if (isCurrent())
+            m_connection->beginAnswer(status, headers, length);
+    }
+
+    void write(std::string_view piece) override
+    {
+        if (isCurrent())
+            m_connection->writeBody(piece);
+    }
+
+    void end() override
+    {
+        if (isCurrent())
+            m_connection->endAnswer();
+    }
+
+    void abort() override
+    {
+        if (isCurrent()) {
+            m_connection->m_events.reset();
+            m_connection->close();
+        }
+    }
+
+    std::size_t backlog() const override { return isCurrent() ? m_connection->m_out.size() : 0; }
+
+private:
+    bool isCurrent() const
+    {
+        return m_connection->m_request == m_request && m_connection->m_stage == Stage::Answering &&
+               !m_connection->m_answerEnded;
+    }
+
+    std::shared_ptr<ServerConnection> m_connection;
+    std::uint64_t m_request;
+};
+
+ServerConnection::ServerConnection(AsioHttpServer &server, boost::asio::ip::tcp::socket socket)
+    : m_server(server)
+    , m_socket(std::move(socket))
+{}
+
+void ServerConnection::start(AsioHttpServer::Connections::iterator place)
+{
+    m_place = place;
+    setDeadline(m_server.m_sink.bounds().idleTimeout);
+    waitReadable();
+}
+
+void ServerConnection::close()
+{
+    if (m_stage == Stage::Closed)
+        return;
+    const auto self = shared_from_this();
+    auto &list = m_stage == Stage::Answering ? m_server.m_busy : m_server.m_idle;
+    list.erase(m_place);
+    m_stage = Stage::Closed;
+    m_server.m_loop.cancel(m_timer);
+    error_code ec;
+    m_socket.close(ec);
+    if (const auto events = std::exchange(m_events, nullptr); events && !m_answerEnded)
+        events->onCallerGone();
+}
+
+void ServerConnection::closeGracefully()
+{
+    if (m_stage == Stage::Closed || m_stage == Stage::Closing)
+        return;
+    enter(Stage::Closing);
+    m_in.clear();
+    setDeadline(kLinger);
+    if (!m_out.empty())
+        return;
+    error_code ec;
+    m_socket.shutdown(boost::asio::socket_base::shutdown_send, ec);
+    waitReadable();
+}
+
+void ServerConnection::waitReadable()
+{
+    if (m_waitingReadable || m_stage == Stage::Closed)
+        return;
+    m_waitingReadable = true;
+    m_socket.async_wait(boost::asio::socket_base::wait_read,
+                        [self = shared_from_this()](const error_code &ec) {
+                            self->m_waitingReadable = false;
+                            if (!ec)
+                                self->onReadable();
+                        });
+}
+
+void ServerConnection::onReadable()
+{
+    if (m_stage == Stage::Closed)
+        return;
+    auto &scratch = m_server.m_loop.scratch();
+    error_code ec;
+    const std::size_t n = m_socket.read_some(boost::asio::buffer(scratch), ec);
+    if (ec == boost::asio::error::would_block) {
+        waitReadable();
+        return;
+    }
+    if (ec) {
+        onPeerClosed();
+        return;
+    }
+    if (m_stage == Stage::Closing) {
+        waitReadable();
+        return;
+    }
+    m_in.append(scratch.data(), n);
+    if (m_stage != Stage::Answering)
+        parse();
+    if (m_in.size() < kMaxPipelined || m_stage != Stage::Answering)
+        waitReadable();
+}
+
+void ServerConnection::onPeerClosed()
+{
+    close();
+}
+
+void ServerConnection::parse()
+{
+    const auto self = shared_from_this();
+    while (!m_in.empty() && m_stage != Stage::Answering && m_stage != Stage::Closing &&
+           m_stage != Stage::Closed) {
+        if (!m_parser) {
+            const auto bounds = m_server.m_sink.bounds();
+            m_parser = std::make_unique<RequestParser>();
+            m_parser->eager(true);
+            m_parser->header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
+            m_parser->body_limit(bounds.maxBodyBytes);
+            enter(Stage::ReadingHead);
+            setDeadline(bounds.headerTimeout);
+        }
+        RequestParser::Error ec;
+        const std::size_t n = m_parser->put(boost::asio::buffer(m_in), ec);
+        m_in.erase(0, n);
+        if (ec && ec != http::error::need_more) {
+            onParseError(ec);
+            return;
+        }
+        if (m_parser->is_header_done() && m_stage == Stage::ReadingHead)
+            onHeaderDone();
+        if (m_parser->is_done()) {
+            dispatch();
+            return;
+        }
+        if (m_stage == Stage::ReadingBody && n > 0)
+            setDeadline(m_server.m_sink.bounds().idleTimeout);
+        if (ec == http::error::need_more && n == 0)
+            return;
+    }
+}
+
+void ServerConnection::onHeaderDone()
+{
+    enter(Stage::ReadingBody);
+    setDeadline(m_server.m_sink.bounds().idleTimeout);
+    if (m_parser->expectsContinue && !m_parser->is_done())
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void ServerConnection::dispatch()
+{
+    if (!m_parser->isFramingClear()) {
+        refuse(kBadRequest, "unclear_framing");
+        return;
+    }
+    enter(Stage::Answering);
+    m_deadline = TimePoint::max();
+    ++m_request;
+    m_keepAlive = m_parser->keep_alive();
+    m_withoutBody = m_parser->request.method == "HEAD";
+    m_answerEnded = false;
+    HttpRequest request = std::move(m_parser->request);
+    // A caller of an old version takes no chunks; its answers end with the connection.
+    m_chunked = m_parser->httpVersion >= kHttp11;
+    m_parser.reset();
+    const std::uint64_t number = m_request;
+    auto events = m_server.m_sink.onRequest(std::move(request),
+                                            std::make_shared<Answer>(shared_from_this(), number));
+    if (m_request == number && m_stage == Stage::Answering && !m_answerEnded)
+        m_events = std::move(events);
+    else if (m_stage == Stage::Closed && !m_answerEnded && events)
+        events->onCallerGone();
+}
+
+void ServerConnection::refuse(int status, std::string_view cause)
+{
+    m_server.m_sink.onBadInput(status, cause);
+    const std::string body = fmt::format(R"({{"error":"{}"}})", cause);
+    std::string answer;
+    appendAnswerHead(answer, status,
+                     {{"Content-Type", "application/json"},
+                      {"Content-Length", std::to_string(body.size())},
+                      {"Connection", "close"}});
+    send(answer + "\r\n" + body);
+    closeGracefully();
+}
+
+void ServerConnection::onParseError(const RequestParser::Error &ec)
+{
+    constexpr int kTooLarge = 413;
+    constexpr int kHeadersTooLarge = 431;
+    if (ec == http::error::header_limit)
+        refuse(kHeadersTooLarge, "headers_too_large");
+    else if (ec == http::error::body_limit)
+        refuse(kTooLarge, "body_too_large");
+    else
+        refuse(kBadRequest, "malformed_request");
+}
+
+void ServerConnection::beginAnswer(int status, const HttpHeaders &headers,
+                                   std::optional<std::size_t> length)
+{
+    if (m_server.m_sink.isStopping() || (!length && !m_chunked))
+        m_keepAlive = false;
+    std::string head;
+    appendAnswerHead(head, status, headers);
+    m_chunked = !length && m_chunked;
+    if (length && hasBody(status))
+        head += fmt::format("Content-Length: {}\r\n", *length);
+    else if (m_chunked && hasBody(status))
+        head += "Transfer-Encoding: chunked\r\n";
+    if (!m_keepAlive)
+        head += "Connection: close\r\n";
+    head += "\r\n";
+    m_withoutBody = m_withoutBody || !hasBody(status);
+    send(head);
+}
+
+void ServerConnection::writeBody(std::string_view piece)
+{
+    if (piece.empty() || m_withoutBody)
+        return;
+    if (m_chunked)
+        send(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
+    else
+        send(piece);
+}
+
+void ServerConnection::endAnswer()
+{
+    m_answerEnded = true;
+    m_events.reset();
+    if (m_chunked && !m_withoutBody)
+        send("0\r\n\r\n");
+    if (m_stage == Stage::Answering && m_out.empty())
+        finishRequest();
+}
+
+void ServerConnection::finishRequest()
+{
+    if (!m_keepAlive) {
+        closeGracefully();
+        return;
+    }
+    enter(Stage::Idle);
+    setDeadline(m_server.m_sink.bounds().idleTimeout);
+    waitReadable();
+    if (!m_in.empty()) {
+        boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] {
+            if (self->m_stage == Stage::Idle)
+                self->parse();
+        });
+    }
+}
+
+void ServerConnection::send(std::string_view bytes)
+{
+    if (m_stage == Stage::Closed)
+        return;
+    if (m_out.empty()) {
+        error_code ec;
+        const std::size_t n =
+                m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+        if (ec && ec != boost::asio::error::would_block) {
+            onWriteFailed();
+            return;
+        }
+        if (!ec)
+            bytes.remove_prefix(n);
+    }
+    if (bytes.empty())
+        return;
+    m_out += bytes;
+    flush();
+}
+
+void ServerConnection::flush()
+{
+    if (m_waitingWritable)
+        return;
+    m_waitingWritable = true;
+    m_socket.async_wait(boost::asio::socket_base::wait_write,
+                        [self = shared_from_this()](const error_code &waitError) {
+                            self->m_waitingWritable = false;
+                            if (waitError || self->m_stage == Stage::Closed)
+                                return;
+                            error_code ec;
+                            const std::size_t n =
+                                    self->m_socket.write_some(boost::asio::buffer(self->m_out), ec);
+                            if (ec && ec != boost::asio::error::would_block) {
+                                self->onWriteFailed();
+                                return;
+                            }
+                            self->m_out.erase(0, ec ? 0 : n);
+                            if (self->m_out.empty())
+                                self->onFlushed();
+                            else
+                                self->flush();
+                        });
+}
+
+void ServerConnection::onWriteFailed()
+{
+    // The caller of send() still uses this connection, so it closes once that has returned.
+    m_out.clear();
+    boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] { self->close(); });
+}
+
+void ServerConnection::onFlushed()
+{
+    if (m_stage == Stage::Closing) {
+        error_code ec;
+        m_socket.shutdown(boost::asio::socket_base::shutdown_send, ec);
+        waitReadable();
+    } else if (m_stage == Stage::Answering && m_answerEnded) {
+        finishRequest();
+    } else if (m_events) {
+        m_events->onDrained();
+    }
+}
+
+void ServerConnection::enter(Stage stage)
+{
+    const bool wasBusy = m_stage == Stage::Answering;
+    const bool isBusy = stage == Stage::Answering;
+    m_stage = stage;
+    if (wasBusy == isBusy)
+        return;
+    auto &from = wasBusy ? m_server.m_busy : m_server.m_idle;
+    auto &to = isBusy ? m_server.m_busy : m_server.m_idle;
+    to.splice(to.end(), from, m_place);
+}
+
+void ServerConnection::setDeadline(Duration span)
+{
+    m_deadline = m_server.m_loop.now() + span;
+    // A timer that is due earlier stays and checks again, which is cheaper than a new one a
+    // request.
+    if (m_timer != 0 && m_timerDue <= m_deadline)
+        return;
+    m_server.m_loop.cancel(m_timer);
+    m_timerDue = m_deadline;
+    m_timer = m_server.m_loop.after(span, [self = shared_from_this()] { self->onDeadline(); });
+}
+
+void ServerConnection::onDeadline()
+{
+    m_timer = 0;
+    if (m_stage == Stage::Closed || m_deadline == TimePoint::max())
+        return;
+    const auto left = m_deadline - m_server.m_loop.now();
+    if (left > Duration(0)) {
+        setDeadline(left);
+        return;
+    }
+    constexpr int kRequestTimeout = 408;
+    if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
+        refuse(kRequestTimeout, "request_too_slow");
+    else if (m_stage == Stage::Idle)
+        closeGracefully();
+    else
+        close();
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/asio/server_connection.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "drivers/asio/asio_http_server.h"
+#include "drivers/asio/http_message_parser.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hawthornslip {
+
+/** One connection of a caller: reads requests in turn and writes their answers. */
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    ServerConnection(AsioHttpServer &server, boost::asio::ip::tcp::socket socket);
+
+    /** Starts to read; @p place is the connection's entry in the server's idle list. */
+    void start(AsioHttpServer::Connections::iterator place);
+
+    /** Closes the connection at once. */
+    void close();
+
+    /** Sends what is left, then closes without losing the caller's view of it. */
+    void closeGracefully();
+
+private:
+    class Answer;
+
+    /** Where the connection is in its cycle. */
+    enum class Stage { Idle, ReadingHead, ReadingBody, Answering, Closing, Closed };
+
+    void waitReadable();
+    void onReadable();
+    void onPeerClosed();
+    void parse();
+    void onHeaderDone();
+    void dispatch();
+    void refuse(int status, std::string_view cause);
+    void onParseError(const RequestParser::Error &ec);
+
+    void beginAnswer(int status, const HttpHeaders &headers, std::optional<std::size_t> length);
+    void writeBody(std::string_view piece);
+    void endAnswer();
+    void send(std::string_view bytes);
+    void flush();
+    void onWriteFailed();
+    void onFlushed();
+    void finishRequest();
+
+    void enter(Stage stage);
+    void setDeadline(Duration span);
+    void onDeadline();
+
+    AsioHttpServer &m_server;
+    boost::asio::ip::tcp::socket m_socket;
+    AsioHttpServer::Connections::iterator m_place;
+    Stage m_stage = Stage::Idle;
+    bool m_waitingReadable = false;
+    bool m_waitingWritable = false;
+
+    std::string m_in;
+    std::unique_ptr<RequestParser> m_parser;
+
+    std::string m_out;
+    std::shared_ptr<CallerEvents> m_events;
+    /** Counts requests, so that a late call for an earlier one does nothing. */
+    std::uint64_t m_request = 0;
+    bool m_keepAlive = true;
+    bool m_chunked = false;
+    bool m_withoutBody = false;
+    bool m_answerEnded = false;
+
+    TimerId m_timer = 0;
+    TimePoint m_timerDue{};
+    TimePoint m_deadline = TimePoint::max();
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/asio/upstream_connection.cpp
@@ -0,0 +1,357 @@
+#include "drivers/asio/upstream_connection.h"
+
+#include "core/logger.h"
+#include "drivers/asio/socket_options.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// A back end closes an idle connection at its stated time; ours ends earlier, since a request that
+// crosses that close may have run or not.
+constexpr Duration kReuseMargin = milliseconds(700);
+constexpr int kFirstFinalStatus = 200;
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(AsioUpstreamClient &client, std::string address)
+    : m_client(client)
+    , m_address(std::move(address))
+    , m_socket(client.m_loop.context())
+{}
+
+std::uint64_t UpstreamConnection::start(UpstreamRequest request, std::string target,
+                                        std::shared_ptr<UpstreamHandler> handler)
+{
+    m_request = std::move(request);
+    m_handler = std::move(handler);
+    m_closing = false;
+    m_paused = false;
+    m_written = 0;
+    resetParser();
+    buildMessage(target);
+    armTimers();
+    const std::uint64_t number = ++m_call;
+    if (m_connected) {
+        // A failure is reported from the loop, so that the sender has its call by then.
+        boost::asio::post(m_client.m_loop.context(), [self = shared_from_this(), number] {
+            if (self->m_call == number && self->m_handler)
+                self->writeMessage();
+        });
+    } else {
+        connect();
+    }
+    return number;
+}
+
+void UpstreamConnection::cancel(std::uint64_t number)
+{
+    if (number != m_call || !m_handler)
+        return;
+    finish(UpstreamResult::Cancelled, "cancelled");
+}
+
+void UpstreamConnection::resume(std::uint64_t number)
+{
+    if (number != m_call || !m_paused)
+        return;
+    m_paused = false;
+    const auto self = shared_from_this();
+    if (deliverBody())
+        onBytes();
+    waitReadable();
+}
+
+void UpstreamConnection::close()
+{
+    shut();
+    m_client.drop(shared_from_this());
+}
+
+void UpstreamConnection::connect()
+{
+    const auto endpoint = parseEndpoint(m_address);
+    error_code ec;
+    m_socket.open(boost::asio::ip::tcp::v4(), ec);
+    if (ec || endpoint.port() == 0) {
+        const std::string message = ec ? ec.message() : "no valid address";
+        boost::asio::post(m_client.m_loop.context(), [self = shared_from_this(), message] {
+            self->finish(UpstreamResult::ConnectFailed, message);
+        });
+        return;
+    }
+    configureSocket(m_socket, m_client.m_silence);
+    m_socket.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
+        if (self->m_closed)
+            return;
+        if (error)
+            self->finish(UpstreamResult::ConnectFailed, error.message());
+        else
+            self->onConnected();
+    });
+}
+
+void UpstreamConnection::onConnected()
+{
+    m_connected = true;
+    m_client.m_loop.cancel(std::exchange(m_connectTimer, 0));
+    writeMessage();
+}
+
+void UpstreamConnection::buildMessage(const std::string &target)
+{
+    m_out.clear();
+    auto out = std::back_inserter(m_out);
+    fmt::format_to(out, "{} {} HTTP/1.1\r\n", m_request.method, target);
+    for (const auto &[name, value] : m_request.headers)
+        fmt::format_to(out, "{}: {}\r\n", name, value);
+    if (!m_request.body.empty() || (m_request.method != "GET" && m_request.method != "HEAD"))
+        fmt::format_to(out, "Content-Length: {}\r\n", m_request.body.size());
+    m_out += "\r\n";
+    m_out += m_request.body;
+}
+
+void UpstreamConnection::writeMessage()
+{
+    error_code ec;
+    const auto rest = boost::asio::buffer(m_out) + m_written;
+    const std::size_t n = rest.size() == 0 ? 0 : m_socket.write_some(rest, ec);
+    if (ec && ec != boost::asio::error::would_block) {
+        // An early answer may be there to read although the back end takes no more of the body.
+        waitReadable();
+        m_closing = true;
+        return;
+    }
+    m_written += ec ? 0 : n;
+    waitReadable();
+    if (m_written == m_out.size())
+        return;
+    m_socket.async_wait(boost::asio::socket_base::wait_write,
+                        [self = shared_from_this(), call = m_call](const error_code &error) {
+                            if (!error && call == self->m_call && self->m_handler)
+                                self->writeMessage();
+                        });
+}
+
+void UpstreamConnection::armTimers()
+{
+    const std::uint64_t number = m_call + 1;
+    const auto expire = [this, number](UpstreamResult result, Duration span) {
+        return m_client.m_loop.after(span, [self = shared_from_this(), number, result] {
+            if (self->m_call == number && self->m_handler)
+                self->finish(result, "timed out");
+        });
+    };
+    if (!m_connected && m_request.connectTimeout > Duration(0))
+        m_connectTimer = expire(UpstreamResult::ConnectFailed, m_request.connectTimeout);
+    if (m_request.totalTimeout > Duration(0))
+        m_totalTimer = expire(UpstreamResult::TotalTimeout, m_request.totalTimeout);
+}
+
+void UpstreamConnection::waitReadable()
+{
+    if (m_waitingReadable || m_closed || m_paused)
+        return;
+    m_waitingReadable = true;
+    m_socket.async_wait(boost::asio::socket_base::wait_read,
+                        [self = shared_from_this()](const error_code &ec) {
+                            self->m_waitingReadable = false;
+                            if (!ec)
+                                self->onReadable();
+                        });
+}
+
+void UpstreamConnection::onReadable()
+{
+    if (m_closed || m_paused)
+        return;
+    auto &scratch = m_client.m_loop.scratch();
+    error_code ec;
+    const std::size_t n = m_socket.read_some(boost::asio::buffer(scratch), ec);
+    if (ec == boost::asio::error::would_block) {
+        waitReadable();
+        return;
+    }
+    if (!m_handler) {
+        // Bytes on an idle connection belong to no request.
+        if (!ec)
+            logEvent(LogLevel::Info, "idle_bytes_dropped", {{"upstream", m_address}, {"bytes", n}});
+        close();
+        return;
+    }
+    if (ec) {
+        onPeerClosed(ec == boost::asio::error::eof);
+        return;
+    }
+    m_in.append(scratch.data(), n);
+    onBytes();
+    waitReadable();
+}
+
+void UpstreamConnection::onBytes()
+{
+    const auto self = shared_from_this();
+    while (m_handler && !m_paused && parseStep()) {
+    }
+}
+
+bool UpstreamConnection::parseStep()
+{
+    AnswerParser::Error ec;
+    const std::size_t n = m_parser->put(boost::asio::buffer(m_in), ec);
+    m_in.erase(0, n);
+    if (ec && ec != http::error::need_more) {
+        finish(UpstreamResult::Broken, ec.message());
+        return false;
+    }
+    if (!m_parser->is_header_done())
+        return n > 0 && !m_in.empty();
+    if (m_parser->status < kFirstFinalStatus || isForeignAnswer()) {
+        m_parser->body.clear();
+        if (m_parser->is_done())
+            resetParser();
+        return n > 0 && !m_in.empty();
+    }
+    if (!deliverHead() || !deliverBody())
+        return false;
+    if (m_parser->is_done()) {
+        onAnswerDone();
+        return false;
+    }
+    return n > 0 && !m_in.empty();
+}
+
+bool UpstreamConnection::deliverHead()
+{
+    if (m_headDelivered)
+        return true;
+    m_headDelivered = true;
+    m_closing = m_closing || !m_parser->keep_alive();
+    noteKeepAlive();
+    const auto handler = m_handler;
+    handler->onHeaders(m_parser->status, m_parser->headers);
+    return m_handler != nullptr;
+}
+
+bool UpstreamConnection::deliverBody()
+{
+    if (!m_handler)
+        return false;
+    if (m_parser->body.empty())
+        return true;
+    const auto handler = m_handler;
+    const std::string piece = std::move(m_parser->body);
+    m_parser->body.clear();
+    if (!handler->onData(piece)) {
+        if (m_handler) {
+            m_paused = true;
+            m_parser->body = piece;
+        }
+        return false;
+    }
+    return m_handler != nullptr;
+}
+
+void UpstreamConnection::onAnswerDone()
+{
+    const bool reusable = !m_closing && m_in.empty() && m_written == m_out.size();
+    if (!m_in.empty())
+        logEvent(LogLevel::Info, "extra_bytes_dropped",
+                 {{"upstream", m_address}, {"bytes", m_in.size()}});
+    if (!reusable) {
+        finish(UpstreamResult::Complete, "");
+        return;
+    }
+    const auto self = shared_from_this();
+    m_client.m_loop.cancel(std::exchange(m_totalTimer, 0));
+    const auto handler = std::exchange(m_handler, nullptr);
+    const int status = m_parser->status;
+    m_out.clear();
+    m_request = UpstreamRequest{};
+    m_idleSince = m_client.m_loop.now();
+    m_usableUntil = m_keepAlive == Duration::max() ? TimePoint::max() : m_idleSince + m_keepAlive;
+    m_client.release(self);
+    handler->onEnd({UpstreamResult::Complete, status, "", false});
+}
+
+void UpstreamConnection::onPeerClosed(bool clean)
+{
+    if (!clean) {
+        finish(UpstreamResult::Broken, "connection reset");
+        return;
+    }
+    AnswerParser::Error ec;
+    m_parser->put_eof(ec);
+    // A body without a length ends with the connection.
+    const bool complete = !ec && m_headDelivered && m_parser->is_done();
+    finish(complete ? UpstreamResult::Complete : UpstreamResult::Broken,
+           complete ? "" : "connection closed early");
+}
+
+void UpstreamConnection::noteKeepAlive()
+{
+    constexpr std::string_view kTimeout = "timeout=";
+    m_keepAlive = Duration::max();
+    const auto *text = findHeader(m_parser->headers, "keep-alive");
+    if (text == nullptr)
+        return;
+    const auto at = text->find(kTimeout);
+    if (at == std::string::npos)
+        return;
+    std::int64_t n = 0;
+    const char *begin = text->data() + at + kTimeout.size();
+    if (std::from_chars(begin, text->data() + text->size(), n).ec == std::errc{})
+        m_keepAlive = seconds(n) - kReuseMargin;
+}
+
+bool UpstreamConnection::isForeignAnswer() const
+{
+    if (m_headDelivered || m_request.tagHeader.empty())
+        return false;
+    const auto *tag = findHeader(m_parser->headers, m_request.tagHeader);
+    return tag != nullptr && *tag != m_request.tag;
+}
+
+void UpstreamConnection::resetParser()
+{
+    m_headDelivered = false;
+    m_parser = std::make_unique<AnswerParser>();
+    m_parser->eager(true);
+    m_parser->skip(m_request.method == "HEAD");
+    m_parser->body_limit(boost::none);
+}
+
+void UpstreamConnection::finish(UpstreamResult result, std::string message)
+{
+    const auto self = shared_from_this();
+    const auto handler = std::exchange(m_handler, nullptr);
+    const int status = m_parser ? m_parser->status : 0;
+    const bool closing = m_closing && result == UpstreamResult::Complete;
+    shut();
+    if (handler)
+        handler->onEnd({result, status, std::move(message), closing});
+}
+
+void UpstreamConnection::shut()
+{
+    m_closed = true;
+    m_client.m_loop.cancel(std::exchange(m_connectTimer, 0));
+    m_client.m_loop.cancel(std::exchange(m_totalTimer, 0));
+    error_code ec;
+    m_socket.close(ec);
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/toml/settings_keys.cpp
@@ -0,0 +1,47 @@
+#include "drivers/toml/settings_keys.h"
+
+#include "core/logger.h"
+#include "drivers/toml/settings_reader.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace hawthornslip {
+
+std::string checkLogLevel(const std::string &text)
+{
+    return valueOf(kLogLevelNames, text) ? "" : "must be debug, info, warning or error";
+}
+
+bool parseAddress(std::string_view text, ListenAddress &address)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return false;
+    const std::string ip(text.substr(0, colon));
+    const std::string_view portText = text.substr(colon + 1);
+    in_addr parsed{};
+    if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1)
+        return false;
+    std::uint16_t port = 0;
+    const auto *end = portText.data() + portText.size();
+    const auto result = std::from_chars(portText.data(), end, port);
+    if (result.ec != std::errc{} || result.ptr != end)
+        return false;
+    address.ip = ip;
+    address.port = port;
+    return true;
+}
+
+std::string formatFault(const std::string &path, const SettingsFault &fault)
+{
+    std::string text = path;
+    if (fault.line > 0)
+        text += fmt::format(":{}", fault.line);
+    if (!fault.key.empty())
+        text += ": " + fault.key;
+    return text + ": " + fault.message;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/drivers/toml/settings_keys.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "core/settings.h"
+#include "drivers/toml/toml_document.h"
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+namespace hawthornslip {
+
+/** Parses `ip:port`. @return false when @p text is not an IPv4 number and a port. */
+bool parseAddress(std::string_view text, ListenAddress &address);
+
+/** One known key of a settings file whose values go into a @p Target. */
+template <typename Target>
+struct SettingsKey
+{
+    std::string_view section;
+    std::string_view name;
+    bool required = false;
+    /** Stores the value; returns what is wrong with it, or an empty text. */
+    std::function<std::string(const TomlValue &, Target &)> store;
+};
+
+/** Makes the functions that check and store the values of keys. */
+template <typename Target>
+struct SettingsKeyFactory
+{
+    using Store = std::function<std::string(const TomlValue &, Target &)>;
+
+    template <typename Access, typename Check>
+    static Store textKey(Access access, Check check)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *text = std::get_if<std::string>(&value.value);
+            if (text == nullptr)
+                return "must be a string";
+            std::string fault = check(*text);
+            if (fault.empty())
+                access(settings) = std::decay_t<decltype(access(settings))>(*text);
+            return fault;
+        };
+    }
+
+    template <typename Access>
+    static Store addressKey(Access access)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *text = std::get_if<std::string>(&value.value);
+            if (text == nullptr || !parseAddress(*text, access(settings)))
+                return "must be an address of the form ip:port";
+            return {};
+        };
+    }
+
+    template <typename Access>
+    static Store numberKey(Access access, std::int64_t lowest, std::int64_t highest)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *n = std::get_if<std::int64_t>(&value.value);
+            if (n == nullptr)
+                return "must be a whole number";
+            if (*n < lowest || *n > highest)
+                return fmt::format("must be between {} and {}", lowest, highest);
+            access(settings) = static_cast<std::uint32_t>(*n);
+            return {};
+        };
+    }
+
+    template <typename Access>
+    static Store millisKey(Access access, std::int64_t lowest, std::int64_t highest)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *n = std::get_if<std::int64_t>(&value.value);
+            if (n == nullptr)
+                return "must be a whole number of milliseconds";
+            if (*n < lowest || *n > highest)
+                return fmt::format("must be between {} and {} ms", lowest, highest);
+            access(settings) = milliseconds(*n);
+            return {};
+        };
+    }
+
+    template <typename Access, typename Check>
+    static Store listKey(Access access, Check check)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *texts = std::get_if<std::vector<std::string>>(&value.value);
+            if (texts == nullptr)
+                return "must be a list of strings";
+            auto &list = access(settings);
+            list.clear();
+            for (const auto &it : *texts) {
+                if (const std::string fault = check(it); !fault.empty())
+                    return fmt::format("\"{}\" {}", it, fault);
+                list.emplace_back(it);
+            }
+            return {};
+        };
+    }
+
+    template <typename Access>
+    static Store realKey(Access access, double lowest, double highest)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *whole = std::get_if<std::int64_t>(&value.value);
+            const auto *real = std::get_if<double>(&value.value);
+            if (whole == nullptr && real == nullptr)
+                return "must be a number";
+            const double n = real != nullptr ? *real : static_cast<double>(*whole);
+            if (!(n >= lowest && n <= highest))
+                return fmt::format("must be between {} and {}", lowest, highest);
+            access(settings) = n;
+            return {};
+        };
+    }
+
+    template <typename Access>
+    static Store flagKey(Access access)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto *flag = std::get_if<bool>(&value.value);
+            if (flag == nullptr)
+                return "must be true or false";
+            access(settings) = *flag;
+            return {};
+        };
+    }
+};
+
+/** @return "must not be empty" for an empty text. */
+inline std::string checkNonEmpty(const std::string &text)
+{
+    return text.empty() ? "must not be empty" : "";
+}
+
+/** @return what is wrong with the name of a log level, or an empty text. */
+std::string checkLogLevel(const std::string &text);
+
+} // namespace hawthornslip
--- a/main/commands/command.cpp
+++ b/main/commands/command.cpp
@@ -21,7 +21,7 @@
     app.footer("Examples:\n  " + examples);
 }
 
-int runCommandLine(int argc, char **argv)
+int runCommandLine(int argc, char **argv, std::span<const AddCommand> commands)
 {
     CLI::App app{"Router for language-model traffic with service levels and priorities."};
     app.set_version_flag("--version", std::string(versionText()));
@@ -29,14 +29,8 @@
     app.footer("Exit codes: 0 success, 1 refused, 2 invalid input, 3 node unreachable, "
                "4 conflict, 5 not in force everywhere in time.");
     CommandContext context;
-    addServeCommand(app, context);
-    addConfigCommand(app, context);
-    addProfileCommand(app, context);
-    addUpstreamCommand(app, context);
-    addStatusCommand(app, context);
-    addOutcomeCommand(app, context);
-    addKeysCommand(app, context);
-    addLoadCommand(app, context);
+    for (const auto add : commands)
+        add(app, context);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
--- a/main/commands/command.h
+++ b/main/commands/command.h
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 
 #include <functional>
+#include <span>
 #include <string>
 
 namespace hawthornslip {
@@ -24,6 +25,7 @@
 
 // Each function adds one command with its options to the command line.
 void addServeCommand(CLI::App &app, CommandContext &context);
+void addGatewayCommand(CLI::App &app, CommandContext &context);
 void addConfigCommand(CLI::App &app, CommandContext &context);
 void addProfileCommand(CLI::App &app, CommandContext &context);
 void addUpstreamCommand(CLI::App &app, CommandContext &context);
@@ -32,7 +34,10 @@
 void addKeysCommand(CLI::App &app, CommandContext &context);
 void addLoadCommand(CLI::App &app, CommandContext &context);
 
-/** Parses the arguments and runs the command. @return the exit code. */
-int runCommandLine(int argc, char **argv);
+/** A function that adds a command. */
+using AddCommand = void (*)(CLI::App &, CommandContext &);
+
+/** Parses the arguments and runs one of @p commands. @return the exit code. */
+int runCommandLine(int argc, char **argv, std::span<const AddCommand> commands);
 
 } // namespace hawthornslip
--- /dev/null
+++ b/main/commands/gateway_command.cpp
@@ -0,0 +1,45 @@
+#include "core/logger.h"
+#include "drivers/toml/gateway_settings_reader.h"
+#include "main/commands/command.h"
+#include "main/gateway_process.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+
+namespace hawthornslip {
+
+namespace {
+
+ExitCode runGateway(const std::string &path, bool checkOnly)
+{
+    const auto read = readGatewaySettings(path);
+    for (const auto &it : read.faults)
+        fmt::print(stderr, "{}\n", formatFault(path, it));
+    if (!read.faults.empty())
+        return ExitCode::InvalidInput;
+    if (checkOnly)
+        return ExitCode::Success;
+    setLogLevel(*valueOf(kLogLevelNames, read.settings.logLevel));
+    setLogOutput(LogOutput::StandardOutput);
+    GatewayProcess process(read.settings, path);
+    return process.run() ? ExitCode::Success : ExitCode::Refused;
+}
+
+} // namespace
+
+void addGatewayCommand(CLI::App &app, CommandContext &context)
+{
+    auto *command = app.add_subcommand("gateway", "Run a gateway on the users' platform until "
+                                                  "SIGTERM or SIGINT");
+    const auto path = std::make_shared<std::string>();
+    const auto checkOnly = std::make_shared<bool>(false);
+    command->add_option("--settings", *path, "Settings file")
+            ->envname("HAWTHORNSLIP_NODE_FILE")
+            ->required();
+    command->add_flag("--check", *checkOnly, "Check the settings file and exit");
+    addExamples(*command, "hawthornslip gateway --settings gateway.toml");
+    onRun(*command, context, [path, checkOnly] { return runGateway(*path, *checkOnly); });
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/main/gateway_process.cpp
@@ -0,0 +1,161 @@
+#include "main/gateway_process.h"
+
+#include "core/logger.h"
+#include "drivers/toml/gateway_settings_reader.h"
+#include "platform/object_feed.h"
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+// Back ends and the store acknowledge within milliseconds; three seconds are a cut.
+constexpr Duration kPeerSilence = seconds(3);
+// The platform asks each second and takes a node out after two misses.
+constexpr Duration kStopNotice = milliseconds(2500);
+// Left of the grace for the process to end by itself.
+constexpr Duration kStopMargin = milliseconds(600);
+constexpr Duration kTick = milliseconds(200);
+// Descriptors that stay free of callers' connections, for upstreams, store and files.
+constexpr std::uint32_t kReservedDescriptors = 300;
+
+std::size_t callerConnections(const GatewaySettings &settings)
+{
+    // A request holds a connection on each side.
+    const std::uint32_t free = settings.maxDescriptors > 2 * kReservedDescriptors
+                                       ? settings.maxDescriptors - kReservedDescriptors
+                                       : settings.maxDescriptors / 2;
+    return free * 2 / 3;
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    constexpr int kWordBits = 32;
+    return (static_cast<std::uint64_t>(device()) << kWordBits) | device();
+}
+
+} // namespace
+
+GatewayProcess::GatewayProcess(const GatewaySettings &settings, std::string settingsPath)
+    : m_settings(settings)
+    , m_settingsPath(std::move(settingsPath))
+    , m_client(m_loop, kPeerSilence)
+    , m_storeClient(m_loop, kPeerSilence)
+    , m_gateway(GatewayParts{m_loop, m_dialect, m_client, m_metrics}, settings, randomSeed())
+    , m_readiness([this] {
+        const bool ready = m_gateway.isReady();
+        return StatusSink::Page(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    })
+    , m_metricsPage([this] { return StatusSink::Page(200, m_metrics.serialize()); })
+    , m_callers(m_loop, m_gateway, callerConnections(settings))
+    , m_readinessServer(m_loop, m_readiness, kReservedDescriptors / 4)
+    , m_metricsServer(m_loop, m_metricsPage, kReservedDescriptors / 4)
+    , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
+{}
+
+GatewayProcess::~GatewayProcess() = default;
+
+bool GatewayProcess::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    if (!m_callers.start(m_settings.callers) || !m_readinessServer.start(m_settings.readiness) ||
+        !m_metricsServer.start(m_settings.metrics))
+        return false;
+    startFollowers();
+    waitForSignal();
+    m_loop.after(kTick, [this] { tick(); });
+    logEvent(LogLevel::Info, "gateway_started",
+             {{"node", m_settings.nodeName},
+              {"domain", m_settings.domain.value},
+              {"callers", m_settings.callers.ip},
+              {"port", m_settings.callers.port},
+              {"store", m_settings.storeAddress}});
+    m_loop.run();
+    logEvent(LogLevel::Info, "gateway_stopped", {{"node", m_settings.nodeName}});
+    flushLog();
+    return true;
+}
+
+void GatewayProcess::startFollowers()
+{
+    m_configFeed = platform::makeConfigFeed(m_storeClient, m_settings.storeAddress);
+    m_upstreamFeed = platform::makeUpstreamFeed(m_storeClient, m_settings.storeAddress);
+    m_configFollower = std::make_unique<FeedFollower<RoutingConfig>>(
+            "config", *m_configFeed, m_gateway.state().configSink(), m_loop, m_metrics,
+            FollowerTimes{}, randomSeed());
+    m_upstreamFollower = std::make_unique<FeedFollower<UpstreamEntry>>(
+            "upstreams", *m_upstreamFeed, m_gateway.state().upstreamSink(), m_loop, m_metrics,
+            FollowerTimes{}, randomSeed());
+    m_configFollower->start();
+    m_upstreamFollower->start();
+}
+
+void GatewayProcess::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &ec, int number) {
+        if (ec)
+            return;
+        onSignal(number);
+        waitForSignal();
+    });
+}
+
+void GatewayProcess::onSignal(int number)
+{
+    if (number == SIGHUP)
+        reload();
+    else
+        beginStop(number);
+}
+
+void GatewayProcess::reload()
+{
+    const auto read = readGatewaySettings(m_settingsPath);
+    for (const auto &it : read.faults)
+        logEvent(LogLevel::Warning, "settings_fault",
+                 {{"file", m_settingsPath}, {"key", it.key}, {"fault", it.message}});
+    if (!read.faults.empty())
+        return;
+    // Addresses and bounds stay as they were until the next start.
+    setLogLevel(*valueOf(kLogLevelNames, read.settings.logLevel));
+    logEvent(LogLevel::Info, "settings_reloaded", {{"file", m_settingsPath}});
+}
+
+void GatewayProcess::beginStop(int number)
+{
+    if (m_stopAt != TimePoint{})
+        return;
+    m_stopAt = m_loop.now();
+    m_gateway.beginStop();
+    logEvent(LogLevel::Info, "gateway_stopping",
+             {{"signal", number}, {"active", m_callers.activeRequests()}});
+}
+
+void GatewayProcess::checkStopped()
+{
+    if (m_stopAt == TimePoint{})
+        return;
+    const Duration since = m_loop.now() - m_stopAt;
+    if (since < kStopNotice)
+        return;
+    if (!m_closedIdle) {
+        m_closedIdle = true;
+        m_callers.stopAccepting();
+    }
+    m_callers.closeIdle();
+    if (m_callers.connections() == 0 || since > m_settings.stopGrace - kStopMargin)
+        m_loop.stop();
+}
+
+void GatewayProcess::tick()
+{
+    checkStopped();
+    flushLog();
+    m_loop.after(kTick, [this] { tick(); });
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/main/gateway_process.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/gateway_settings.h"
+#include "core/interfaces/state_feed.h"
+#include "drivers/asio/asio_event_loop.h"
+#include "drivers/asio/asio_http_server.h"
+#include "drivers/asio/asio_upstream_client.h"
+#include "drivers/prometheus/prometheus_metrics.h"
+#include "main/status_sink.h"
+#include "platform/wire_headers.h"
+#include "servers/gateway/gateway.h"
+#include "servers/state/feed_follower.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <string>
+
+namespace hawthornslip {
+
+/** One gateway process: its loop, listeners, followers and signals. */
+class GatewayProcess
+{
+public:
+    /** @param settingsPath is read again at SIGHUP. */
+    GatewayProcess(const GatewaySettings &settings, std::string settingsPath);
+    ~GatewayProcess();
+
+    /** Listens and serves until SIGTERM or SIGINT. @return false when an address is not free. */
+    bool run();
+
+private:
+    void startFollowers();
+    void waitForSignal();
+    void onSignal(int number);
+    void reload();
+    void beginStop(int number);
+    void checkStopped();
+    void tick();
+
+    GatewaySettings m_settings;
+    std::string m_settingsPath;
+    AsioEventLoop m_loop;
+    PrometheusMetrics m_metrics;
+    platform::WireHeaders m_dialect;
+    AsioUpstreamClient m_client;
+    AsioUpstreamClient m_storeClient;
+    Gateway m_gateway;
+    StatusSink m_readiness;
+    StatusSink m_metricsPage;
+    AsioHttpServer m_callers;
+    AsioHttpServer m_readinessServer;
+    AsioHttpServer m_metricsServer;
+    std::unique_ptr<StateFeed<RoutingConfig>> m_configFeed;
+    std::unique_ptr<StateFeed<UpstreamEntry>> m_upstreamFeed;
+    std::unique_ptr<FeedFollower<RoutingConfig>> m_configFollower;
+    std::unique_ptr<FeedFollower<UpstreamEntry>> m_upstreamFollower;
+    boost::asio::signal_set m_signals;
+    TimePoint m_stopAt{};
+    bool m_closedIdle = false;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/freshness/config_belief.cpp
@@ -0,0 +1,51 @@
+#include "modules/freshness/config_belief.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+// A watch may hear nothing for a second before the store cuts it, so that its last confirmation
+// can be this much too late.
+constexpr Duration kWatchLag = milliseconds(1200);
+
+} // namespace
+
+ConfigBelief::ConfigBelief(KeyTrust trust)
+    : m_trust(trust)
+{}
+
+bool ConfigBelief::adopt(RoutingConfig config, TimePoint now)
+{
+    if (m_table && config.version <= m_table->config().version)
+        return false;
+    m_table = std::make_shared<const RouteTable>(std::move(config));
+    m_adoptedAt = now;
+    return true;
+}
+
+void ConfigBelief::confirm(TimePoint at)
+{
+    m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at;
+}
+
+std::optional<Duration> ConfigBelief::age(TimePoint now) const
+{
+    if (!m_confirmedAt)
+        return std::nullopt;
+    return now - *m_confirmedAt;
+}
+
+bool ConfigBelief::mayTrustKeys(TimePoint now) const
+{
+    if (!m_table)
+        return false;
+    if (!m_trust.failClosed)
+        return true;
+    const auto old = age(now);
+    return old && *old < m_trust.revokeWithin - kWatchLag;
+}
+
+} // namespace hawthornslip
--- a/modules/ownership/rendezvous_hash.cpp
+++ b/modules/ownership/rendezvous_hash.cpp
@@ -44,4 +44,14 @@
     return order.empty() ? NodeId{} : std::move(order.front());
 }
 
+std::uint64_t rendezvousMember(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t key, std::uint64_t member)
+{
+    return XXH3_64bits_withSeed(&key, sizeof key, member);
+}
+
 } // namespace hawthornslip
--- a/modules/ownership/rendezvous_hash.h
+++ b/modules/ownership/rendezvous_hash.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -19,4 +20,10 @@
 std::vector<NodeId> rendezvousOrder(std::string_view key, const std::vector<NodeId> &nodes,
                                     std::size_t n);
 
+/** @return the hash of a member's name, for rendezvousWeight(). */
+std::uint64_t rendezvousMember(std::string_view name);
+
+/** @return the weight of a member for @p key; the member with the highest weight wins. */
+std::uint64_t rendezvousWeight(std::uint64_t key, std::uint64_t member);
+
 } // namespace hawthornslip
--- /dev/null
+++ b/modules/retry/run_ledger.cpp
@@ -0,0 +1,34 @@
+#include "modules/retry/run_ledger.h"
+
+#include <algorithm>
+
+namespace hawthornslip {
+
+void RunLedger::beginAttempt()
+{
+    m_earlier = execution();
+    m_current = AttemptState::NotSent;
+}
+
+Execution RunLedger::execution() const
+{
+    return std::max(m_earlier, executionOf(m_current));
+}
+
+Execution RunLedger::executionOf(AttemptState state)
+{
+    switch (state) {
+    case AttemptState::NotSent:
+    case AttemptState::Refused:
+        return Execution::NotRun;
+    case AttemptState::Sent:
+    case AttemptState::Lost:
+        return Execution::MayHaveRun;
+    case AttemptState::Begun:
+    case AttemptState::Finished:
+        return Execution::Ran;
+    }
+    return Execution::MayHaveRun;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/routing/route_table.cpp
@@ -0,0 +1,78 @@
+#include "modules/routing/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+std::string hostName(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char it) { return it >= 'A' && it <= 'Z' ? it + 32 : it; });
+    return name;
+}
+
+} // namespace
+
+RouteTable::RouteTable(RoutingConfig config)
+    : m_config(std::move(config))
+{
+    for (const auto &it : m_config.routes)
+        m_routes[hostName(it.host)][it.pathPrefix] = &it;
+    for (const auto &it : m_config.services)
+        m_services[it.name] = &it;
+    for (const auto &workspace : m_config.workspaces) {
+        for (const auto &key : workspace.apiKeys)
+            m_workspaces[key] = &workspace;
+    }
+}
+
+const Route *RouteTable::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_routes.find(hostName(host));
+    if (routes == m_routes.end())
+        return nullptr;
+    // Prefixes end with a slash, so only those positions of the path are tried.
+    for (auto end = path.rfind('/'); end != std::string_view::npos;) {
+        const auto found = routes->second.find(path.substr(0, end + 1));
+        if (found != routes->second.end())
+            return found->second;
+        if (end == 0)
+            break;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const Service *RouteTable::findService(std::string_view name) const
+{
+    const auto it = m_services.find(name);
+    return it == m_services.end() ? nullptr : it->second;
+}
+
+const KeyedWorkspace *RouteTable::findWorkspace(std::string_view apiKey) const
+{
+    const auto it = m_workspaces.find(apiKey);
+    return it == m_workspaces.end() ? nullptr : it->second;
+}
+
+const std::string *chooseTarget(const Route &route, std::uint64_t draw)
+{
+    std::uint64_t total = 0;
+    for (const auto &it : route.targets)
+        total += it.weight;
+    if (total == 0)
+        return route.targets.empty() ? nullptr : &route.targets.front().service;
+    std::uint64_t rest = draw % total;
+    for (const auto &it : route.targets) {
+        if (rest < it.weight)
+            return &it.service;
+        rest -= it.weight;
+    }
+    return nullptr;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/gateway/gateway.cpp
@@ -0,0 +1,91 @@
+#include "servers/gateway/gateway.h"
+
+#include "servers/gateway/exchange.h"
+
+namespace hawthornslip {
+
+namespace {
+
+// Lines a second for single requests. A line costs a few microseconds, so both together stay
+// within a thousandth of a small machine's share of a core.
+constexpr double kPlainLinesPerSecond = 20;
+constexpr double kFailureLinesPerSecond = 50;
+constexpr double kLinesBurst = 100;
+
+} // namespace
+
+Gateway::Gateway(GatewayParts parts, const GatewaySettings &settings, std::uint64_t seed)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_state(parts.loop, parts.metrics, KeyTrust{settings.failClosed, settings.revokeWithin},
+              DirectoryTimes{settings.drainWithin})
+    , m_random(seed)
+    , m_plainLines(kPlainLinesPerSecond, kLinesBurst, parts.loop.now())
+    , m_failureLines(kFailureLinesPerSecond, kLinesBurst, parts.loop.now())
+{}
+
+Gateway::~Gateway() = default;
+
+std::shared_ptr<CallerEvents> Gateway::onRequest(HttpRequest request,
+                                                 std::shared_ptr<AnswerWriter> writer)
+{
+    auto exchange = std::make_shared<Exchange>(*this, std::move(request), std::move(writer));
+    exchange->start();
+    return exchange;
+}
+
+CallerBounds Gateway::bounds() const
+{
+    CallerBounds bounds;
+    if (const auto &table = m_state.config().table()) {
+        const auto &limits = table->config().limits;
+        bounds = {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout,
+                  limits.idleTimeout};
+    }
+    return bounds;
+}
+
+void Gateway::onBadInput(int status, std::string_view cause)
+{
+    m_parts.metrics.count(metric::kRefusals, {{"reason", cause}, {"execution", "not_run"}});
+    if (mayLogRequest(LogLevel::Warning))
+        logEvent(LogLevel::Warning, "bad_input", {{"status", status}, {"cause", cause}});
+}
+
+bool Gateway::isReady() const
+{
+    if (m_stopping || !m_state.isComplete())
+        return false;
+    return !m_state.config().table()->needsKeys() || m_state.mayTrustKeys();
+}
+
+ServiceLane &Gateway::lane(const std::string &service)
+{
+    auto &lane = m_lanes[service];
+    if (!lane)
+        lane = std::make_unique<ServiceLane>(
+                service, WindowBudget(m_settings.repeatRatio, m_settings.repeatWindow));
+    auto &directory = m_state.upstreams();
+    const TimePoint now = m_parts.loop.now();
+    directory.expire(now);
+    if (lane->directoryRevision != directory.revision()) {
+        lane->directoryRevision = directory.revision();
+        lane->balancer.setUpstreams(directory.usable(service, now));
+    }
+    return *lane;
+}
+
+bool Gateway::mayLogRequest(LogLevel level)
+{
+    auto &bucket = level >= LogLevel::Warning ? m_failureLines : m_plainLines;
+    if (bucket.tryTake(1, m_parts.loop.now())) {
+        if (m_droppedLines > 0)
+            logEvent(LogLevel::Info, "request_lines_dropped", {{"lines", m_droppedLines}});
+        m_droppedLines = 0;
+        return true;
+    }
+    ++m_droppedLines;
+    return false;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/gateway/service_lane.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "modules/balancing/service_balancer.h"
+#include "modules/retry/window_budget.h"
+#include "modules/upstreams/upstream_directory.h"
+
+#include <string>
+
+namespace hawthornslip {
+
+/** What a node keeps for one service: where its requests go and how many may be repeated. */
+struct ServiceLane
+{
+    explicit ServiceLane(std::string serviceName, WindowBudget budget)
+        : name(std::move(serviceName))
+        , repeats(budget)
+    {}
+
+    std::string name;
+    ServiceBalancer balancer;
+    WindowBudget repeats;
+    /** Revision of the directory that the balancer shows. */
+    std::uint64_t directoryRevision = 0;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/state/feed_follower.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "core/interfaces/event_loop.h"
+#include "core/interfaces/metrics.h"
+#include "core/interfaces/state_feed.h"
+#include "core/logger.h"
+#include "core/metric_names.h"
+
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hawthornslip {
+
+/** Times of a follower. */
+struct FollowerTimes
+{
+    /**
+     * Length of one watch. An empty answer confirms what is known, so it bounds the age of the
+     * belief; each call has its price.
+     */
+    Duration watch = milliseconds(1500);
+    /** How long an answer may be late before the call is made again. */
+    Duration overdue = milliseconds(900);
+    /** First and longest pause after a failed call; half of it is random. */
+    Duration firstPause = milliseconds(100);
+    Duration longestPause = milliseconds(800);
+    /** Pause after changes, so that several ones in a row come with one call. */
+    Duration gather = milliseconds(120);
+};
+
+/** Receives what a follower learns. */
+template <typename Value>
+class FollowerSink
+{
+public:
+    virtual ~FollowerSink() = default;
+
+    /** Takes the whole list; items that could not be read have no value. */
+    virtual void onList(const std::vector<FeedItem<Value>> &items) = 0;
+
+    /** Takes a change of one object. */
+    virtual void onChange(const FeedItem<Value> &item) = 0;
+
+    /** Notes that all that was told before is complete as of @p at. */
+    virtual void onConfirmed(TimePoint at) = 0;
+
+    /** Notes that the store answers again after a call had failed. */
+    virtual void onReturned() {}
+};
+
+/**
+ * Keeps a copy of one kind of shared state: reads the list, then watches for changes, and starts
+ * again when the history is gone. A call that is refused or lost is repeated with growing pauses,
+ * of which a part is random, so that many nodes don't return at the same moment.
+ */
+template <typename Value>
+class FeedFollower
+{
+public:
+    /** @param kind names the state in logs and metrics. */
+    FeedFollower(std::string kind, StateFeed<Value> &feed, FollowerSink<Value> &sink,
+                 EventLoop &loop, Metrics &metrics, FollowerTimes times, std::uint64_t seed)
+        : m_kind(std::move(kind))
+        , m_feed(feed)
+        , m_sink(sink)
+        , m_loop(loop)
+        , m_metrics(metrics)
+        , m_times(times)
+        , m_random(seed)
+    {}
+
+    /** Starts to follow; the follower has to outlive the loop's run. */
+    void start() { list(); }
+
+    /** @return true while the last call succeeded. */
+    bool isInContact() const { return m_failures == 0 && m_listed; }
+
+private:
+    using Result = FeedResult<Value>;
+
+    void list()
+    {
+        m_items.clear();
+        m_listStart = m_loop.now();
+        m_listRevision = 0;
+        listFrom("");
+    }
+
+    void listFrom(const std::string &after)
+    {
+        const auto call = beginCall(Duration(0));
+        m_feed.list(after, [this, call](Result result) {
+            if (endCall(call, "list", result.error))
+                onListed(std::move(result));
+        });
+    }
+
+    void onListed(Result result)
+    {
+        if (result.error != FeedError::None) {
+            retry([this] { list(); }, result.error);
+            return;
+        }
+        // Changes between two pages come with the watch from the first page's revision on.
+        if (m_listRevision == 0)
+            m_listRevision = result.revision;
+        for (auto &it : result.items)
+            m_items.push_back(std::move(it));
+        if (result.hasMore && !m_items.empty()) {
+            listFrom(m_items.back().name);
+            return;
+        }
+        noteSuccess();
+        m_listed = true;
+        m_revision = m_listRevision;
+        logEvent(LogLevel::Info, "state_listed",
+                 {{"kind", m_kind}, {"objects", m_items.size()}, {"revision", m_revision}});
+        m_sink.onList(std::exchange(m_items, {}));
+        m_sink.onConfirmed(m_listStart);
+        watch();
+    }
+
+    void watch()
+    {
+        const TimePoint start = m_loop.now();
+        const auto call = beginCall(m_times.watch);
+        m_feed.watch(m_revision, m_times.watch, [this, call, start](Result result) {
+            if (endCall(call, "watch", result.error))
+                onWatched(std::move(result), start);
+        });
+    }
+
+    void onWatched(Result result, TimePoint start)
+    {
+        if (result.error == FeedError::HistoryGone) {
+            noteSuccess();
+            logEvent(LogLevel::Info, "history_gone", {{"kind", m_kind}, {"revision", m_revision}});
+            list();
+            return;
+        }
+        if (result.error != FeedError::None) {
+            retry([this] { watch(); }, result.error);
+            return;
+        }
+        noteSuccess();
+        m_revision = std::max(m_revision, result.revision);
+        for (const auto &it : result.items)
+            m_sink.onChange(it);
+        const bool waited = m_loop.now() - start >= m_times.watch;
+        m_sink.onConfirmed(waited && result.items.empty() ? start + m_times.watch : start);
+        if (result.items.empty() && waited)
+            watch();
+        else
+            m_loop.after(m_times.gather, [this] { watch(); });
+    }
+
+    std::uint64_t beginCall(Duration wait)
+    {
+        const std::uint64_t call = ++m_call;
+        m_overdueTimer = m_loop.after(wait + m_times.overdue, [this, call] {
+            if (call != m_call)
+                return;
+            ++m_call;
+            m_metrics.count(metric::kStoreCalls, {{"duty", m_kind}, {"result", "overdue"}});
+            const auto again = m_listed ? &FeedFollower::watch : &FeedFollower::list;
+            retry([this, again] { (this->*again)(); }, FeedError::Unavailable);
+        });
+        return call;
+    }
+
+    /** @return false when the call was given up before. */
+    bool endCall(std::uint64_t call, std::string_view verb, FeedError error)
+    {
+        if (call != m_call)
+            return false;
+        ++m_call;
+        m_loop.cancel(m_overdueTimer);
+        m_metrics.count(metric::kStoreCalls,
+                        {{"duty", m_kind}, {"result", nameOf(kFeedErrorNames, error)}});
+        if (error != FeedError::None && error != FeedError::HistoryGone && m_failures == 0)
+            logEvent(LogLevel::Warning, "state_contact_lost",
+                     {{"kind", m_kind}, {"call", verb}, {"error", nameOf(kFeedErrorNames, error)}});
+        return true;
+    }
+
+    void noteSuccess()
+    {
+        if (m_failures > 0) {
+            logEvent(LogLevel::Info, "state_contact_regained",
+                     {{"kind", m_kind}, {"failures", m_failures}});
+            m_sink.onReturned();
+        }
+        m_failures = 0;
+    }
+
+    void retry(EventLoop::Task task, FeedError error)
+    {
+        const auto doubled = m_times.firstPause * (1 << std::min(m_failures, 8U));
+        const Duration pause = std::min<Duration>(doubled, m_times.longestPause);
+        std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2, pause.count());
+        ++m_failures;
+        // A list that broke off in the middle starts anew.
+        const bool relist = error == FeedError::Malformed || !m_listed;
+        m_loop.after(Duration(spread(m_random)), relist ? [this] { list(); } : std::move(task));
+    }
+
+    std::string m_kind;
+    StateFeed<Value> &m_feed;
+    FollowerSink<Value> &m_sink;
+    EventLoop &m_loop;
+    Metrics &m_metrics;
+    FollowerTimes m_times;
+    std::mt19937_64 m_random;
+    std::uint64_t m_call = 0;
+    TimerId m_overdueTimer = 0;
+    bool m_listed = false;
+    std::uint32_t m_failures = 0;
+    std::uint64_t m_revision = 0;
+    TimePoint m_listStart{};
+    std::uint64_t m_listRevision = 0;
+    std::vector<FeedItem<Value>> m_items;
+};
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/state/router_state.cpp
@@ -0,0 +1,95 @@
+#include "servers/state/router_state.h"
+
+namespace hawthornslip {
+
+RouterState::RouterState(EventLoop &loop, Metrics &metrics, KeyTrust trust, DirectoryTimes times)
+    : m_loop(loop)
+    , m_metrics(metrics)
+    , m_config(trust)
+    , m_upstreams(times)
+{}
+
+void RouterState::ConfigSink::onList(const std::vector<FeedItem<RoutingConfig>> &items)
+{
+    for (const auto &it : items)
+        m_state.adopt(it);
+}
+
+void RouterState::ConfigSink::onChange(const FeedItem<RoutingConfig> &item)
+{
+    m_state.adopt(item);
+}
+
+void RouterState::UpstreamSink::onList(const std::vector<FeedItem<UpstreamEntry>> &items)
+{
+    std::vector<UpstreamEntry> entries;
+    for (const auto &it : items) {
+        if (it.value)
+            entries.push_back(*it.value);
+        else
+            m_state.apply(it);
+    }
+    m_state.m_upstreams.replaceAll(entries, m_state.m_loop.now());
+    m_state.m_upstreamsListed = true;
+    m_state.notifyChanged();
+}
+
+void RouterState::UpstreamSink::onChange(const FeedItem<UpstreamEntry> &item)
+{
+    m_state.apply(item);
+    m_state.notifyChanged();
+}
+
+void RouterState::UpstreamSink::onReturned()
+{
+    m_state.m_upstreams.onStoreReturned(m_state.m_loop.now());
+}
+
+void RouterState::adopt(const FeedItem<RoutingConfig> &item)
+{
+    if (!item.value) {
+        // The version in force stays: a removed or broken object is no newer version.
+        logEvent(LogLevel::Warning, "config_unusable",
+                 {{"object", item.name}, {"removed", item.removed}, {"fault", item.fault}});
+        return;
+    }
+    const std::uint64_t before = m_config.table() ? m_config.table()->config().version : 0;
+    if (!m_config.adopt(*item.value, m_loop.now()))
+        return;
+    const auto &config = m_config.table()->config();
+    m_metrics.gauge(metric::kConfigGeneration, {}, static_cast<double>(config.version));
+    logEvent(LogLevel::Info, "config_in_force",
+             {{"version", config.version},
+              {"before", before},
+              {"routes", config.routes.size()},
+              {"workspaces", config.workspaces.size()}});
+    notifyChanged();
+}
+
+void RouterState::apply(const FeedItem<UpstreamEntry> &item)
+{
+    const TimePoint now = m_loop.now();
+    if (item.value) {
+        m_upstreams.put(*item.value, now);
+        logEvent(LogLevel::Info, "upstream_entry",
+                 {{"upstream", item.name},
+                  {"service", item.value->service},
+                  {"address", item.value->address},
+                  {"draining", item.value->draining}});
+        return;
+    }
+    if (!item.removed)
+        logEvent(LogLevel::Warning, "upstream_entry_unusable",
+                 {{"upstream", item.name}, {"fault", item.fault}});
+    else
+        logEvent(LogLevel::Info, "upstream_removed", {{"upstream", item.name}});
+    m_upstreams.remove(UpstreamId(item.name), now);
+}
+
+void RouterState::notifyChanged()
+{
+    if (m_changed)
+        m_changed();
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/servers/state/router_state.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "modules/freshness/config_belief.h"
+#include "modules/upstreams/upstream_directory.h"
+#include "servers/state/feed_follower.h"
+
+#include <functional>
+
+namespace hawthornslip {
+
+/** What a node believes about the shared configuration and the upstreams, fed by followers. */
+class RouterState
+{
+public:
+    RouterState(EventLoop &loop, Metrics &metrics, KeyTrust trust, DirectoryTimes times);
+
+    /** @return the sink for a follower of the configuration. */
+    FollowerSink<RoutingConfig> &configSink() { return m_configSink; }
+    /** @return the sink for a follower of the upstreams' entries. */
+    FollowerSink<UpstreamEntry> &upstreamSink() { return m_upstreamSink; }
+
+    const ConfigBelief &config() const { return m_config; }
+    UpstreamDirectory &upstreams() { return m_upstreams; }
+
+    /** @return true when the node knows a configuration and the upstreams. */
+    bool isComplete() const { return m_config.table() != nullptr && m_upstreamsListed; }
+
+    /** @return true when a request with a key may be served now. */
+    bool mayTrustKeys() const { return m_config.mayTrustKeys(m_loop.now()); }
+
+    /** Sets what runs after each change of the configuration or the upstreams. */
+    void onChanged(std::function<void()> task) { m_changed = std::move(task); }
+
+private:
+    class ConfigSink : public FollowerSink<RoutingConfig>
+    {
+    public:
+        explicit ConfigSink(RouterState &state)
+            : m_state(state)
+        {}
+        void onList(const std::vector<FeedItem<RoutingConfig>> &items) override;
+        void onChange(const FeedItem<RoutingConfig> &item) override;
+        void onConfirmed(TimePoint at) override { m_state.m_config.confirm(at); }
+
+    private:
+        RouterState &m_state;
+    };
+
+    class UpstreamSink : public FollowerSink<UpstreamEntry>
+    {
+    public:
+        explicit UpstreamSink(RouterState &state)
+            : m_state(state)
+        {}
+        void onList(const std::vector<FeedItem<UpstreamEntry>> &items) override;
+        void onChange(const FeedItem<UpstreamEntry> &item) override;
+        void onConfirmed(TimePoint) override {}
+        void onReturned() override;
+
+    private:
+        RouterState &m_state;
+    };
+
+    void adopt(const FeedItem<RoutingConfig> &item);
+    void apply(const FeedItem<UpstreamEntry> &item);
+    void notifyChanged();
+
+    EventLoop &m_loop;
+    Metrics &m_metrics;
+    ConfigBelief m_config;
+    UpstreamDirectory m_upstreams;
+    bool m_upstreamsListed = false;
+    ConfigSink m_configSink{*this};
+    UpstreamSink m_upstreamSink{*this};
+    std::function<void()> m_changed;
+};
+
+} // namespace hawthornslip
