Part engines between long prompts and dialogues

Change: EnginePartition gives the streams that bear pauses the first engines of an order that all nodes share, in proportion to the prompt tokens seen lately, and the others the rest.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -5,10 +5,11 @@
 /** Entry point of the `hawthornslip` binary. */
 int main(int argc, char **argv)
 {
-    using namespace hawthornslip;
-    static constexpr std::array<AddCommand, 9> kCommands = {
-            addServeCommand,   addGatewayCommand,  addConfigCommand,
-            addProfileCommand, addUpstreamCommand, addStatusCommand,
-            addOutcomeCommand, addKeysCommand,     addLoadCommand};
-    return runCommandLine(argc, argv, kCommands);
+    static constexpr std::array<hawthornslip::AddCommand, 9> kCommands = {
+            hawthornslip::addServeCommand,    hawthornslip::addGatewayCommand,
+            hawthornslip::addConfigCommand,   hawthornslip::addProfileCommand,
+            hawthornslip::addUpstreamCommand, hawthornslip::addStatusCommand,
+            hawthornslip::addOutcomeCommand,  hawthornslip::addKeysCommand,
+            hawthornslip::addLoadCommand};
+    return hawthornslip::runCommandLine(argc, argv, kCommands);
 }
--- /dev/null
+++ b/modules/balancing/engine_partition.cpp
@@ -0,0 +1,45 @@
+#include "modules/balancing/engine_partition.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornslip {
+
+namespace {
+
+// Time constant of the averages: a node sees a few long prompts a second, and bursts last seconds.
+constexpr double kMemorySeconds = 4;
+// Below this share of the tokens a kind gets no engines of its own.
+constexpr double kLeastShare = 0.005;
+
+} // namespace
+
+void EnginePartition::observe(PauseTolerance tolerance, double tokens, TimePoint now)
+{
+    fade(now);
+    (tolerance == PauseTolerance::Tolerant ? m_tolerant : m_sensitive) += tokens;
+}
+
+std::size_t EnginePartition::tolerantEngines(std::size_t engines) const
+{
+    const double all = m_sensitive + m_tolerant;
+    if (engines < 2 || all <= 0)
+        return engines;
+    const double share = m_tolerant / all;
+    if (share < kLeastShare)
+        return 0;
+    if (share > 1 - kLeastShare)
+        return engines;
+    const auto count = static_cast<std::size_t>(std::lround(share * static_cast<double>(engines)));
+    return std::clamp<std::size_t>(count, 1, engines - 1);
+}
+
+void EnginePartition::fade(TimePoint now)
+{
+    const double keep = std::exp(-std::max(0.0, toSeconds(now - m_fadedAt)) / kMemorySeconds);
+    m_sensitive *= keep;
+    m_tolerant *= keep;
+    m_fadedAt = now;
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/balancing/engine_partition.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+
+namespace hawthornslip {
+
+/** How a request bears that its tokens come in jerks. */
+enum class PauseTolerance {
+    /** Its callers notice short pauses. */
+    Sensitive,
+    /** Its callers bear pauses that the prompts of others cause. */
+    Tolerant
+};
+
+/**
+ * Parts the engines of one service between requests that bear pauses and requests that don't.
+ *
+ * Answers the load in which long prompts and short dialogues share engines: each part of a prompt
+ * that an engine reads holds up the next token of all its other requests, so that a few long
+ * prompts make every dialogue beside them late. Each kind gets engines in proportion to the prompt
+ * tokens that it brought lately, so that all engines read about as much.
+ */
+class EnginePartition
+{
+public:
+    /** Notes a request with @p tokens of a prompt to read. */
+    void observe(PauseTolerance tolerance, double tokens, TimePoint now);
+
+    /**
+     * @param engines how many there are.
+     * @return how many of them, the first ones in an order that all nodes share, take the requests
+     *         that bear pauses. The others take the rest.
+     */
+    std::size_t tolerantEngines(std::size_t engines) const;
+
+private:
+    void fade(TimePoint now);
+
+    double m_sensitive = 0;
+    double m_tolerant = 0;
+    TimePoint m_fadedAt{};
+};
+
+} // namespace hawthornslip
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -3,6 +3,7 @@
 #include "modules/ownership/rendezvous_hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hawthornslip {
 
@@ -35,6 +36,9 @@
         state.usable = true;
         m_order.push_back(it.id);
     }
+    std::sort(m_order.begin(), m_order.end(), [this](const auto &a, const auto &b) {
+        return m_states.at(a).hash < m_states.at(b).hash;
+    });
     std::erase_if(m_states,
                   [](const auto &it) { return !it.second.usable && it.second.running == 0; });
 }
@@ -42,29 +46,50 @@
 const UpstreamEntry *ServiceBalancer::pick(const Demand &demand,
                                            const std::vector<UpstreamId> &excluded, TimePoint now)
 {
-    const State *home = demand.affinityKey != 0 ? preferred(demand.affinityKey, now) : nullptr;
+    const State *home = demand.affinityKey != 0 ? preferred(demand, now) : nullptr;
     const State *best = nullptr;
     double least = 0;
     bool bestAvoided = true;
+    bool bestOutside = true;
+    const auto [first, last] = engineRange(demand);
     const std::size_t n = m_order.size();
     // Starts at another one each time, so that equal ones take turns.
     m_next = n == 0 ? 0 : (m_next + 1) % n;
     for (std::size_t i = 0; i < n; ++i) {
-        const auto &id = m_order[(m_next + i) % n];
+        const std::size_t place = (m_next + i) % n;
+        const auto &id = m_order[place];
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
         const State &state = m_states.at(id);
         const bool avoided = now < state.avoidUntil;
         const double load = loadOf(state, demand, &state == home);
-        if (best != nullptr && (avoided > bestAvoided || (avoided == bestAvoided && load >= least)))
+        const bool outside = place < first || place >= last;
+        if (best != nullptr &&
+            std::tie(avoided, outside, load) >= std::tie(bestAvoided, bestOutside, least))
             continue;
         best = &state;
         least = load;
         bestAvoided = avoided;
+        bestOutside = outside;
     }
     return best == nullptr ? nullptr : &best->entry;
 }
 
+std::pair<std::size_t, std::size_t> ServiceBalancer::engineRange(const Demand &demand) const
+{
+    const std::size_t tolerant = m_partition.tolerantEngines(m_order.size());
+    if (demand.tolerance == PauseTolerance::Tolerant)
+        return {0, tolerant};
+    return tolerant == m_order.size() ? std::pair<std::size_t, std::size_t>(0, tolerant)
+                                      : std::pair(tolerant, m_order.size());
+}
+
+void ServiceBalancer::onRequest(const Demand &demand, TimePoint now)
+{
+    if (demand.ownTokens > 0)
+        m_partition.observe(demand.tolerance, demand.ownTokens, now);
+}
+
 double ServiceBalancer::loadOf(const State &state, const Demand &demand, bool isPreferred) const
 {
     double tokens = demand.ownTokens + state.pendingTokens + kRunningTokens * state.running;
@@ -73,13 +98,14 @@
     return (tokens + kRunningTokens) * state.slowness;
 }
 
-const ServiceBalancer::State *ServiceBalancer::preferred(std::uint64_t key, TimePoint now) const
+const ServiceBalancer::State *ServiceBalancer::preferred(const Demand &demand, TimePoint now) const
 {
+    const auto [first, last] = engineRange(demand);
     const State *best = nullptr;
     std::uint64_t highest = 0;
-    for (const auto &id : m_order) {
-        const State &state = m_states.at(id);
-        const std::uint64_t weight = rendezvousWeight(key, state.hash);
+    for (std::size_t i = first; i < last; ++i) {
+        const State &state = m_states.at(m_order[i]);
+        const std::uint64_t weight = rendezvousWeight(demand.affinityKey, state.hash);
         if (now < state.avoidUntil || (best != nullptr && weight <= highest))
             continue;
         best = &state;
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "modules/balancing/engine_partition.h"
 #include "modules/routing/routing_config.h"
 #include "modules/upstreams/upstream_directory.h"
 
@@ -9,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hawthornslip {
@@ -22,6 +24,7 @@
     std::uint32_t sharedTokens = 0;
     /** Tokens that only this request has. */
     std::uint32_t ownTokens = 0;
+    PauseTolerance tolerance = PauseTolerance::Sensitive;
 };
 
 /** How an attempt at an upstream ended, as far as it tells about the upstream. */
@@ -55,6 +58,9 @@
     const UpstreamEntry *pick(const Demand &demand, const std::vector<UpstreamId> &excluded,
                               TimePoint now);
 
+    /** Notes a request of a caller before it is placed. */
+    void onRequest(const Demand &demand, TimePoint now);
+
     /** Notes that a request was sent to @p id. */
     void onSent(const UpstreamId &id, const Demand &demand);
 
@@ -86,12 +92,14 @@
         TimePoint avoidUntil{};
     };
 
+    std::pair<std::size_t, std::size_t> engineRange(const Demand &demand) const;
     double loadOf(const State &state, const Demand &demand, bool isPreferred) const;
-    const State *preferred(std::uint64_t key, TimePoint now) const;
+    const State *preferred(const Demand &demand, TimePoint now) const;
     double expectedSeconds(const State &state, const Demand &demand) const;
 
     std::unordered_map<UpstreamId, State> m_states;
-    /** The usable ones in a fixed order. */
+    EnginePartition m_partition;
+    /** The usable ones in an order that all nodes share. */
     std::vector<UpstreamId> m_order;
     /** Smoothed seconds to the first event, of all upstreams together. */
     double m_baseSeconds = 0;
--- a/modules/routing/route_table.cpp
+++ b/modules/routing/route_table.cpp
@@ -22,6 +22,14 @@
 {
     for (const auto &it : m_config.routes)
         m_routes[hostName(it.host)][it.pathPrefix] = &it;
+    for (const auto &route : m_config.routes) {
+        if (route.pauseObjective == Duration(0))
+            continue;
+        for (const auto &target : route.targets) {
+            const auto found = m_tightestPauses.emplace(target.service, route.pauseObjective).first;
+            found->second = std::min(found->second, route.pauseObjective);
+        }
+    }
     for (const auto &it : m_config.services)
         m_services[it.name] = &it;
     for (const auto &workspace : m_config.workspaces) {
@@ -59,6 +67,12 @@
     return it == m_workspaces.end() ? nullptr : it->second;
 }
 
+Duration RouteTable::tightestPause(std::string_view service) const
+{
+    const auto it = m_tightestPauses.find(service);
+    return it == m_tightestPauses.end() ? Duration(0) : it->second;
+}
+
 const std::string *chooseTarget(const Route &route, std::uint64_t draw)
 {
     std::uint64_t total = 0;
--- a/modules/routing/route_table.h
+++ b/modules/routing/route_table.h
@@ -45,6 +45,12 @@
     /** @return the workspace that holds @p apiKey, or nullptr. */
     const KeyedWorkspace *findWorkspace(std::string_view apiKey) const;
 
+    /**
+     * @return the shortest pause objective of all streams that @p service gets, or zero without
+     *         one.
+     */
+    Duration tightestPause(std::string_view service) const;
+
     /** @return true when requests need a key unless their route is public. */
     bool needsKeys() const { return !m_config.workspaces.empty(); }
 
@@ -56,6 +62,7 @@
     TextMap<TextMap<const Route *>> m_routes;
     TextMap<const Service *> m_services;
     TextMap<const KeyedWorkspace *> m_workspaces;
+    TextMap<Duration> m_tightestPauses;
 };
 
 /**
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -100,6 +100,7 @@
                                            [self = shared_from_this()] { self->onTimeout(); });
     m_lane->repeats.onRequest(m_arrived);
     prepareDemand();
+    m_lane->balancer.onRequest(m_demand, m_arrived);
     place();
 }
 
@@ -136,6 +137,11 @@
 {
     if (m_meta.prompt.empty())
         return;
+    // Streams that allow twice the pause of the tightest ones bear long prompts beside them.
+    constexpr int kToleranceFactor = 2;
+    const Duration tightest = m_table->tightestPause(m_lane->name);
+    if (tightest > Duration(0) && m_route->pauseObjective >= kToleranceFactor * tightest)
+        m_demand.tolerance = PauseTolerance::Tolerant;
     m_demand.ownTokens = m_meta.prompt.back().tokens;
     for (std::size_t i = 0; i + 1 < m_meta.prompt.size(); ++i)
         m_demand.sharedTokens += m_meta.prompt[i].tokens;
