Keep long prompts off engines that still run dialogues

Change: nodes report how many of their requests bear no pauses; a long prompt prefers engines without them.

--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -23,6 +23,10 @@
 // request, so it weighs more than its own time.
 constexpr double kRereadWeight = 4;
 constexpr double kThirdHomeWeight = 6;
+// A long prompt that comes among dialogues, as on an engine that has just changed sides, makes each
+// of them late; it rather waits at another engine.
+constexpr double kDisturbedSeconds = 0.15;
+constexpr double kMostDisturbed = 1.5;
 // A dialogue that goes among long prompts gets its first event soon and late pauses after it.
 constexpr double kSensitiveOutside = 0.5;
 // A long prompt among dialogues makes all of them late.
@@ -63,6 +67,7 @@
             demand.tolerance == PauseTolerance::Tolerant ? kTolerantOutside : kSensitiveOutside;
     const State *best = nullptr;
     bool bestAvoided = true;
+    bool bestOutside = false;
     double least = 0;
     const std::size_t n = m_order.size();
     // Starts at another one each time, so that equal ones take turns.
@@ -81,12 +86,14 @@
         best = &state;
         least = cost;
         bestAvoided = avoided;
+        bestOutside = outside;
     }
     if (best == nullptr)
         return std::nullopt;
     const bool home = best == homes.first;
     const double tokens = demand.ownTokens + (home ? 0 : demand.sharedTokens);
-    return Placement{best->entry, best->prefill.wait(now), best->prefill.readTime(tokens), tokens};
+    return Placement{best->entry, best->prefill.wait(now), best->prefill.readTime(tokens), tokens,
+                     bestOutside, demand.tolerance};
 }
 
 double ServiceBalancer::costOf(const State &state, const Demand &demand, const Homes &homes,
@@ -97,6 +104,11 @@
     double cost = toSeconds(state.prefill.wait(now)) + kRunningSeconds * running;
     if (running >= state.entry.slots)
         cost += kFullSeconds * (1 + running - state.entry.slots);
+    if (demand.tolerance == PauseTolerance::Tolerant) {
+        const auto sensitive = static_cast<double>(state.sensitive) +
+                               static_cast<double>(std::max<std::int64_t>(0, state.peersSensitive));
+        cost += std::min(kMostDisturbed, kDisturbedSeconds * sensitive);
+    }
     if (&state == homes.first)
         return cost;
     const double weight = &state == homes.second ? kRereadWeight : kThirdHomeWeight;
@@ -150,6 +162,8 @@
 {
     auto &state = m_states[placement.upstream.id];
     ++state.running;
+    if (placement.tolerance == PauseTolerance::Sensitive)
+        ++state.sensitive;
     state.sentTokens += static_cast<std::uint64_t>(placement.tokens);
     state.prefill.add(placement.tokens, now);
 }
@@ -163,13 +177,15 @@
         it->second.prefill.observe(placement.tokens, took);
 }
 
-void ServiceBalancer::onEnded(const UpstreamId &id, AttemptVerdict verdict, TimePoint now)
+void ServiceBalancer::onEnded(const Placement &placement, AttemptVerdict verdict, TimePoint now)
 {
-    const auto it = m_states.find(id);
+    const auto it = m_states.find(placement.upstream.id);
     if (it == m_states.end())
         return;
     auto &state = it->second;
     state.running -= state.running > 0 ? 1 : 0;
+    if (placement.tolerance == PauseTolerance::Sensitive)
+        state.sensitive -= state.sensitive > 0 ? 1 : 0;
     switch (verdict) {
     case AttemptVerdict::Good:
         state.failuresInRow = 0;
@@ -198,21 +214,21 @@
     std::vector<NodeLoad> loads;
     for (const auto &[id, state] : m_states) {
         if (state.running > 0 || state.sentTokens > 0)
-            loads.push_back({state.hash, state.running, state.sentTokens});
+            loads.push_back({state.hash, state.running, state.sensitive, state.sentTokens});
     }
     return loads;
 }
 
-void ServiceBalancer::onPeerLoad(std::uint64_t upstream, std::int64_t runningDelta,
-                                 std::uint64_t newTokens, TimePoint now)
+void ServiceBalancer::onPeerLoad(const LoadChange &change, TimePoint now)
 {
-    const auto it = m_byHash.find(upstream);
+    const auto it = m_byHash.find(change.upstream);
     if (it == m_byHash.end())
         return;
     auto &state = m_states.at(it->second);
-    state.peersRunning += runningDelta;
-    if (newTokens > 0)
-        state.prefill.add(static_cast<double>(newTokens), now);
+    state.peersRunning += change.running;
+    state.peersSensitive += change.sensitive;
+    if (change.promptTokens > 0)
+        state.prefill.add(static_cast<double>(change.promptTokens), now);
 }
 
 void ServiceBalancer::onPeerDemand(const NodeDemand &added, TimePoint now)
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -38,6 +38,9 @@
     Duration read{0};
     /** Tokens of the prompt that the engine probably has to read. */
     double tokens = 0;
+    /** The engine is one of those that the other kind of requests goes to. */
+    bool isOutside = false;
+    PauseTolerance tolerance = PauseTolerance::Sensitive;
 };
 
 /** How an attempt at an upstream ended, as far as it tells about the upstream. */
@@ -59,10 +62,21 @@
     /** Hash of the upstream's id. */
     std::uint64_t upstream = 0;
     std::uint32_t running = 0;
+    /** Those of them whose callers notice short pauses. */
+    std::uint32_t sensitive = 0;
     /** Prompt tokens sent since the node's start. */
     std::uint64_t promptTokens = 0;
 };
 
+/** What changed in a peer's load at an upstream. */
+struct LoadChange
+{
+    std::uint64_t upstream = 0;
+    std::int64_t running = 0;
+    std::int64_t sensitive = 0;
+    std::uint64_t promptTokens = 0;
+};
+
 /** Prompt tokens that one node was asked for since its start. */
 struct NodeDemand
 {
@@ -98,7 +112,7 @@
     void onFirstEvent(const Placement &placement, Duration took);
 
     /** Notes the end of an attempt. */
-    void onEnded(const UpstreamId &id, AttemptVerdict verdict, TimePoint now);
+    void onEnded(const Placement &placement, AttemptVerdict verdict, TimePoint now);
 
     /** @return this node's load at each upstream that it used. */
     std::vector<NodeLoad> nodeLoads() const;
@@ -106,8 +120,7 @@
     NodeDemand nodeDemand() const { return m_demand; }
 
     /** Takes what changed in a peer's load at an upstream; unknown upstreams are ignored. */
-    void onPeerLoad(std::uint64_t upstream, std::int64_t runningDelta, std::uint64_t newTokens,
-                    TimePoint now);
+    void onPeerLoad(const LoadChange &change, TimePoint now);
     /** Takes the prompt tokens that a peer was asked for since its last report. */
     void onPeerDemand(const NodeDemand &added, TimePoint now);
 
@@ -121,7 +134,9 @@
         bool usable = false;
         std::uint64_t hash = 0;
         std::uint32_t running = 0;
+        std::uint32_t sensitive = 0;
         std::int64_t peersRunning = 0;
+        std::int64_t peersSensitive = 0;
         std::uint64_t sentTokens = 0;
         PrefillQueue prefill;
         std::uint32_t failuresInRow = 0;
--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -40,12 +40,15 @@
 void PeerLoads::applyLoad(Peer &peer, const NodeLoad &load, bool isFirst)
 {
     NodeLoad &last = peer.loads[load.upstream];
-    const std::int64_t delta = static_cast<std::int64_t>(load.running) - last.running;
-    const std::uint64_t tokens = isFirst || load.promptTokens < last.promptTokens
-                                         ? 0
-                                         : load.promptTokens - last.promptTokens;
-    if (delta != 0 || tokens != 0)
-        m_sink.onPeerLoad(load.upstream, delta, tokens);
+    LoadChange change;
+    change.upstream = load.upstream;
+    change.running = static_cast<std::int64_t>(load.running) - last.running;
+    change.sensitive = static_cast<std::int64_t>(load.sensitive) - last.sensitive;
+    // What a peer did before it was first heard of is no news.
+    if (!isFirst && load.promptTokens > last.promptTokens)
+        change.promptTokens = load.promptTokens - last.promptTokens;
+    if (change.running != 0 || change.sensitive != 0 || change.promptTokens != 0)
+        m_sink.onPeerLoad(change);
     last = load;
 }
 
@@ -53,7 +56,8 @@
 {
     for (const auto &[upstream, load] : peer.loads) {
         if (load.running > 0)
-            m_sink.onPeerLoad(upstream, -static_cast<std::int64_t>(load.running), 0);
+            m_sink.onPeerLoad({upstream, -static_cast<std::int64_t>(load.running),
+                               -static_cast<std::int64_t>(load.sensitive), 0});
     }
     peer.loads.clear();
     peer.demands.clear();
--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -29,8 +29,7 @@
 public:
     virtual ~PeerLoadSink() = default;
 
-    virtual void onPeerLoad(std::uint64_t upstream, std::int64_t runningDelta,
-                            std::uint64_t newTokens) = 0;
+    virtual void onPeerLoad(const LoadChange &change) = 0;
     virtual void onPeerDemand(std::uint64_t service, const NodeDemand &added) = 0;
 };
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -30,6 +30,10 @@
 // Work that an engine may have before it when a request is sent: what is sent cannot be overtaken.
 constexpr Duration kLeastAhead = milliseconds(100);
 constexpr int kAheadPart = 6;
+// When to come back to another node; the spread keeps a refused crowd from returning at once.
+constexpr Duration kSoonest = milliseconds(100);
+constexpr Duration kSoon = milliseconds(600);
+constexpr int kSoonPart = 4;
 // Part of its objective that a request is held at most; the rest is for its answer.
 constexpr int kHoldPart = 2;
 constexpr std::string_view kEventStream = "text/event-stream";
@@ -330,6 +334,10 @@
         beginRelay(std::nullopt);
     m_writer->write(event.text);
     ++m_events;
+    const TimePoint now = m_gateway.parts().loop.now();
+    if (m_lastEventAt != TimePoint{})
+        m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
+    m_lastEventAt = now;
     if (event.id)
         m_lastEvent = event.id;
 }
@@ -455,7 +463,7 @@
 
 void Exchange::closeAttempt(AttemptVerdict verdict)
 {
-    m_lane->balancer.onEnded(m_upstream.id, verdict, m_gateway.parts().loop.now());
+    m_lane->balancer.onEnded(m_placement, verdict, m_gateway.parts().loop.now());
     m_gateway.noteLoadChanged();
 }
 
@@ -490,7 +498,7 @@
             fmt::format(R"({{"error":"{}","execution":"{}"}})", nameOf(reason), nameOf(execution));
     HttpHeaders headers = {{"Content-Type", "application/json"}};
     if (status == 503 || status == 429) {
-        if (const auto advice = returnAdvice())
+        if (const auto advice = returnAdvice(reason))
             headers.emplace_back("Retry-After", fmt::format("{:.3f}", toSeconds(*advice)));
     }
     m_writer->begin(status, headers, body.size());
@@ -499,13 +507,19 @@
     finish(status, reason);
 }
 
-std::optional<Duration> Exchange::returnAdvice()
+std::optional<Duration> Exchange::returnAdvice(Reason reason)
 {
+    const Duration left = m_route == nullptr ? seconds(1) : timeLeft();
+    const bool isRush = reason == Reason::DeadlineUnreachable || reason == Reason::QueueFull;
+    if (!isRush) {
+        // The cause lies with this node: the next try reaches another one.
+        std::uniform_int_distribution<std::int64_t> soon(kSoonest.count(), kSoon.count());
+        return std::min<Duration>(Duration(soon(m_gateway.random())), left / kSoonPart);
+    }
     // Callers wait for up to a third of the time that they have; a later time is not kept. A rush
     // lasts for seconds, so that those that it turned away return as far apart as they may.
     constexpr int kFirstPart = 8;
     constexpr double kLastPart = 3.3;
-    const Duration left = m_route == nullptr ? seconds(1) : timeLeft();
     const auto last = static_cast<std::int64_t>(static_cast<double>(left.count()) / kLastPart);
     std::uniform_int_distribution<std::int64_t> spread(left.count() / kFirstPart, last);
     return Duration(spread(m_gateway.random()));
@@ -602,6 +616,9 @@
               {"first_ms", millis(m_firstByteAt)},
               {"total_ms", toMillis(now - m_arrived)},
               {"events", m_events},
+              {"longest_pause_ms", toMillis(m_longestPause)},
+              {"wait_estimate_ms", toMillis(m_placement.wait)},
+              {"outside_range", m_placement.isOutside},
               {"prompt_tokens", m_meta.promptTokens},
               {"config_version", m_table ? m_table->config().version : 0},
               {"config_age_ms", age ? toMillis(*age) : -1}});
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -80,7 +80,7 @@
     void onTimeout();
     void finish(int status, Reason reason);
     Duration timeLeft() const;
-    std::optional<Duration> returnAdvice();
+    std::optional<Duration> returnAdvice(Reason reason);
 
     Gateway &m_gateway;
     HttpRequest m_request;
@@ -123,6 +123,8 @@
     std::optional<std::uint64_t> m_lastEvent;
     std::uint64_t m_events = 0;
     TimePoint m_firstByteAt{};
+    TimePoint m_lastEventAt{};
+    Duration m_longestPause{0};
 };
 
 } // namespace hawthornslip
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -81,11 +81,11 @@
     return *lane;
 }
 
-void Gateway::onPeerLoad(std::uint64_t upstream, std::int64_t runningDelta, std::uint64_t newTokens)
+void Gateway::onPeerLoad(const LoadChange &change)
 {
     const TimePoint now = m_parts.loop.now();
     for (auto &[name, lane] : m_lanes)
-        lane->balancer.onPeerLoad(upstream, runningDelta, newTokens, now);
+        lane->balancer.onPeerLoad(change, now);
 }
 
 void Gateway::onPeerDemand(std::uint64_t service, const NodeDemand &added)
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -52,8 +52,7 @@
 
     RouterState &state() { return m_state; }
 
-    void onPeerLoad(std::uint64_t upstream, std::int64_t runningDelta,
-                    std::uint64_t newTokens) override;
+    void onPeerLoad(const LoadChange &change) override;
     void onPeerDemand(std::uint64_t service, const NodeDemand &added) override;
     /** Adds this node's loads and demands to a report. */
     void collectLoads(PeerReport &report) const;
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -14,6 +14,7 @@
         auto *load = message.add_loads();
         load->set_upstream(it.upstream);
         load->set_running(it.running);
+        load->set_sensitive(it.sensitive);
         load->set_prompt_tokens(it.promptTokens);
     }
     for (const auto &[service, it] : report.demands) {
@@ -35,7 +36,7 @@
     report.boot = message.boot();
     report.sequence = message.sequence();
     for (const auto &it : message.loads())
-        report.loads.push_back({it.upstream(), it.running(), it.prompt_tokens()});
+        report.loads.push_back({it.upstream(), it.running(), it.sensitive(), it.prompt_tokens()});
     for (const auto &it : message.demands())
         report.demands.emplace_back(it.service(),
                                     NodeDemand{it.tolerant_tokens(), it.sensitive_tokens()});
