Tell engines the urgency and count it in the prefill queue

Change: workspace, then route decide one of ten levels, sent to engines; the queue estimate counts only prompts as urgent or more; peers report tokens by level.

--- a/modules/balancing/prefill_queue.cpp
+++ b/modules/balancing/prefill_queue.cpp
@@ -25,15 +25,20 @@
     : m_tokensPerSecond(kFirstRate)
 {}
 
-void PrefillQueue::add(double tokens, TimePoint now)
+void PrefillQueue::add(std::size_t level, double tokens, TimePoint now)
 {
-    m_tokens = drainedAt(now) + tokens;
+    m_tokens = drainedAt(now);
+    m_tokens[std::min(level, kUrgencyLevels - 1)] += tokens;
     m_at = now;
 }
 
-Duration PrefillQueue::wait(TimePoint now) const
+Duration PrefillQueue::wait(std::size_t level, TimePoint now) const
 {
-    const double waitSeconds = drainedAt(now) / (m_tokensPerSecond * kUsedPart);
+    const auto left = drainedAt(now);
+    double before = 0;
+    for (std::size_t i = 0; i <= std::min(level, kUrgencyLevels - 1); ++i)
+        before += left[i];
+    const double waitSeconds = before / (m_tokensPerSecond * kUsedPart);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(waitSeconds));
 }
 
@@ -52,10 +57,16 @@
     m_tokensPerSecond += kGain * (rate - m_tokensPerSecond);
 }
 
-double PrefillQueue::drainedAt(TimePoint now) const
+TokensByLevel<double> PrefillQueue::drainedAt(TimePoint now) const
 {
-    const double drained = toSeconds(now - m_at) * m_tokensPerSecond * kUsedPart;
-    return std::max(0.0, m_tokens - std::max(0.0, drained));
+    double drained = std::max(0.0, toSeconds(now - m_at)) * m_tokensPerSecond * kUsedPart;
+    auto left = m_tokens;
+    for (auto &it : left) {
+        const double part = std::min(it, drained);
+        it -= part;
+        drained -= part;
+    }
+    return left;
 }
 
 } // namespace hawthornslip
--- a/modules/balancing/prefill_queue.h
+++ b/modules/balancing/prefill_queue.h
@@ -2,13 +2,23 @@
 
 #include "core/time.h"
 
+#include <array>
+#include <cstddef>
+
 namespace hawthornslip {
 
+/** Levels of urgency that engines tell apart; 0 is the most urgent. */
+inline constexpr std::size_t kUrgencyLevels = 10;
+
+/** Amounts of tokens by urgency. */
+template <typename Number>
+using TokensByLevel = std::array<Number, kUrgencyLevels>;
+
 /**
  * Estimates how long a new prompt waits at one engine until the prompts before it are read, from
  * the tokens that all nodes sent there. It counts with only a part of the engine's reading rate:
  * the rest is left for the streams beside, whose tokens would otherwise come a chunk of a prompt
- * apart.
+ * apart. Engines read more urgent prompts first.
  */
 class PrefillQueue
 {
@@ -16,10 +26,10 @@
     PrefillQueue();
 
     /** Notes that @p tokens of a prompt were sent to the engine. */
-    void add(double tokens, TimePoint now);
+    void add(std::size_t level, double tokens, TimePoint now);
 
     /** @return how long a prompt that is sent now waits before it is read. */
-    Duration wait(TimePoint now) const;
+    Duration wait(std::size_t level, TimePoint now) const;
 
     /** @return how long the engine takes to read @p tokens of a prompt. */
     Duration readTime(double tokens) const;
@@ -33,9 +43,9 @@
     void observe(double tokens, Duration took);
 
 private:
-    double drainedAt(TimePoint now) const;
+    TokensByLevel<double> drainedAt(TimePoint now) const;
 
-    double m_tokens = 0;
+    TokensByLevel<double> m_tokens{};
     TimePoint m_at{};
     double m_tokensPerSecond;
 };
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -92,8 +92,13 @@
         return std::nullopt;
     const bool home = best == homes.first;
     const double tokens = demand.ownTokens + (home ? 0 : demand.sharedTokens);
-    return Placement{best->entry, best->prefill.wait(now), best->prefill.readTime(tokens), tokens,
-                     bestOutside, demand.tolerance};
+    return Placement{best->entry,
+                     demand.level,
+                     best->prefill.wait(demand.level, now),
+                     best->prefill.readTime(tokens),
+                     tokens,
+                     bestOutside,
+                     demand.tolerance};
 }
 
 double ServiceBalancer::costOf(const State &state, const Demand &demand, const Homes &homes,
@@ -101,7 +106,7 @@
 {
     const auto running = static_cast<double>(state.running) +
                          static_cast<double>(std::max<std::int64_t>(0, state.peersRunning));
-    double cost = toSeconds(state.prefill.wait(now)) + kRunningSeconds * running;
+    double cost = toSeconds(state.prefill.wait(demand.level, now)) + kRunningSeconds * running;
     if (running >= state.entry.slots)
         cost += kFullSeconds * (1 + running - state.entry.slots);
     if (demand.tolerance == PauseTolerance::Tolerant) {
@@ -164,8 +169,9 @@
     ++state.running;
     if (placement.tolerance == PauseTolerance::Sensitive)
         ++state.sensitive;
-    state.sentTokens += static_cast<std::uint64_t>(placement.tokens);
-    state.prefill.add(placement.tokens, now);
+    state.isUsed = true;
+    state.sentTokens[placement.level] += static_cast<std::uint64_t>(placement.tokens);
+    state.prefill.add(placement.level, placement.tokens, now);
 }
 
 void ServiceBalancer::onFirstEvent(const Placement &placement, Duration took)
@@ -213,7 +219,7 @@
 {
     std::vector<NodeLoad> loads;
     for (const auto &[id, state] : m_states) {
-        if (state.running > 0 || state.sentTokens > 0)
+        if (state.isUsed)
             loads.push_back({state.hash, state.running, state.sensitive, state.sentTokens});
     }
     return loads;
@@ -227,8 +233,10 @@
     auto &state = m_states.at(it->second);
     state.peersRunning += change.running;
     state.peersSensitive += change.sensitive;
-    if (change.promptTokens > 0)
-        state.prefill.add(static_cast<double>(change.promptTokens), now);
+    for (std::size_t level = 0; level < kUrgencyLevels; ++level) {
+        if (change.promptTokens[level] > 0)
+            state.prefill.add(level, static_cast<double>(change.promptTokens[level]), now);
+    }
 }
 
 void ServiceBalancer::onPeerDemand(const NodeDemand &added, TimePoint now)
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -25,6 +25,8 @@
     std::uint32_t sharedTokens = 0;
     /** Tokens that only this request has. */
     std::uint32_t ownTokens = 0;
+    /** 0 is the most urgent; below kUrgencyLevels. */
+    std::size_t level = 0;
     PauseTolerance tolerance = PauseTolerance::Sensitive;
 };
 
@@ -32,6 +34,7 @@
 struct Placement
 {
     UpstreamEntry upstream;
+    std::size_t level = 0;
     /** Time until the engine begins to read the prompt. */
     Duration wait{0};
     /** Time that the engine takes to read the prompt. */
@@ -65,7 +68,7 @@
     /** Those of them whose callers notice short pauses. */
     std::uint32_t sensitive = 0;
     /** Prompt tokens sent since the node's start. */
-    std::uint64_t promptTokens = 0;
+    TokensByLevel<std::uint64_t> promptTokens{};
 };
 
 /** What changed in a peer's load at an upstream. */
@@ -74,7 +77,7 @@
     std::uint64_t upstream = 0;
     std::int64_t running = 0;
     std::int64_t sensitive = 0;
-    std::uint64_t promptTokens = 0;
+    TokensByLevel<std::uint64_t> promptTokens{};
 };
 
 /** Prompt tokens that one node was asked for since its start. */
@@ -137,7 +140,8 @@
         std::uint32_t sensitive = 0;
         std::int64_t peersRunning = 0;
         std::int64_t peersSensitive = 0;
-        std::uint64_t sentTokens = 0;
+        TokensByLevel<std::uint64_t> sentTokens{};
+        bool isUsed = false;
         PrefillQueue prefill;
         std::uint32_t failuresInRow = 0;
         TimePoint avoidUntil{};
--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -45,10 +45,11 @@
     change.running = static_cast<std::int64_t>(load.running) - last.running;
     change.sensitive = static_cast<std::int64_t>(load.sensitive) - last.sensitive;
     // What a peer did before it was first heard of is no news.
-    if (!isFirst && load.promptTokens > last.promptTokens)
-        change.promptTokens = load.promptTokens - last.promptTokens;
-    if (change.running != 0 || change.sensitive != 0 || change.promptTokens != 0)
-        m_sink.onPeerLoad(change);
+    for (std::size_t i = 0; !isFirst && i < kUrgencyLevels; ++i) {
+        if (load.promptTokens[i] > last.promptTokens[i])
+            change.promptTokens[i] = load.promptTokens[i] - last.promptTokens[i];
+    }
+    m_sink.onPeerLoad(change);
     last = load;
 }
 
@@ -56,8 +57,10 @@
 {
     for (const auto &[upstream, load] : peer.loads) {
         if (load.running > 0)
-            m_sink.onPeerLoad({upstream, -static_cast<std::int64_t>(load.running),
-                               -static_cast<std::int64_t>(load.sensitive), 0});
+            m_sink.onPeerLoad({upstream,
+                               -static_cast<std::int64_t>(load.running),
+                               -static_cast<std::int64_t>(load.sensitive),
+                               {}});
     }
     peer.loads.clear();
     peer.demands.clear();
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -150,6 +150,12 @@
 
 void Exchange::prepareDemand()
 {
+    // The workspace goes before the route.
+    constexpr int kRouteLevels = 3;
+    const int workspace = m_workspace == nullptr ? 0 : std::max(0, m_workspace->priority);
+    const int route = std::clamp(m_route->priority, 0, kRouteLevels - 1);
+    m_demand.level = std::min(static_cast<std::size_t>(workspace * kRouteLevels + route),
+                              kUrgencyLevels - 1);
     if (m_meta.prompt.empty())
         return;
     // Streams that allow twice the pause of the tightest ones bear long prompts beside them.
@@ -279,6 +285,8 @@
     meta.expectedUpstream = upstream.id.value;
     if (m_workspace != nullptr)
         meta.workspace = m_workspace->name;
+    if (!m_meta.prompt.empty())
+        meta.priority = static_cast<int>(m_demand.level);
     meta.lastEventId = m_lastEvent ? m_lastEvent : m_meta.lastEventId;
     dialect.writeForward(meta, headers);
     return headers;
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway.pb.h"
 
+#include <algorithm>
+
 namespace hawthornslip {
 
 std::string encodeReport(const PeerReport &report)
@@ -15,7 +17,12 @@
         load->set_upstream(it.upstream);
         load->set_running(it.running);
         load->set_sensitive(it.sensitive);
-        load->set_prompt_tokens(it.promptTokens);
+        // Levels after the last one in use are left out.
+        std::size_t levels = kUrgencyLevels;
+        while (levels > 0 && it.promptTokens[levels - 1] == 0)
+            --levels;
+        for (std::size_t i = 0; i < levels; ++i)
+            load->add_prompt_tokens(it.promptTokens[i]);
     }
     for (const auto &[service, it] : report.demands) {
         auto *demand = message.add_demands();
@@ -35,8 +42,13 @@
     report.node = message.node();
     report.boot = message.boot();
     report.sequence = message.sequence();
-    for (const auto &it : message.loads())
-        report.loads.push_back({it.upstream(), it.running(), it.sensitive(), it.prompt_tokens()});
+    for (const auto &it : message.loads()) {
+        NodeLoad load{it.upstream(), it.running(), it.sensitive(), {}};
+        const auto levels = std::min<std::size_t>(kUrgencyLevels, it.prompt_tokens().size());
+        for (std::size_t i = 0; i < levels; ++i)
+            load.promptTokens[i] = it.prompt_tokens(static_cast<int>(i));
+        report.loads.push_back(load);
+    }
     for (const auto &it : message.demands())
         report.demands.emplace_back(it.service(),
                                     NodeDemand{it.tolerant_tokens(), it.sensitive_tokens()});
