Make fewer calls to the store and smaller reports of load

Change: the watch of the configuration lasts three fifths of the revocation time and is shorter after a change, that of upstreams 15 s; reports hold what changed.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -35,6 +35,26 @@
     return free * 2 / 3;
 }
 
+FollowerTimes configTimes(const GatewaySettings &settings)
+{
+    FollowerTimes times;
+    // Each answer confirms that no key was revoked; keys are trusted for somewhat longer.
+    times.watch = settings.revokeWithin * 3 / 5;
+    times.isAgeBounded = true;
+    times.overdue = milliseconds(500);
+    return times;
+}
+
+FollowerTimes upstreamTimes()
+{
+    FollowerTimes times;
+    // Changes come at once; the follower of the configuration notices a store that is lost.
+    times.watch = seconds(15);
+    // A release replaces upstreams one after the other; drains allow two seconds.
+    times.gather = milliseconds(300);
+    return times;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -97,10 +117,12 @@
     m_upstreamFeed = platform::makeUpstreamFeed(m_storeClient, m_settings.storeAddress);
     m_configFollower = std::make_unique<FeedFollower<RoutingConfig>>(
             "config", *m_configFeed, m_gateway.state().configSink(), m_loop, m_metrics,
-            FollowerTimes{}, randomSeed());
+            configTimes(m_settings), randomSeed());
     m_upstreamFollower = std::make_unique<FeedFollower<UpstreamEntry>>(
             "upstreams", *m_upstreamFeed, m_gateway.state().upstreamSink(), m_loop, m_metrics,
-            FollowerTimes{}, randomSeed());
+            upstreamTimes(), randomSeed());
+    // A watch that hears nothing for long cannot tell a quiet store from a lost one.
+    m_configFollower->onContactLost([this] { m_upstreamFollower->suspect(); });
     m_nodeFeed = platform::makeNodeFeed(m_storeClient, m_settings.storeAddress);
     FollowerTimes nodeTimes;
     nodeTimes.watch = kNodeWatch;
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -69,6 +69,8 @@
     std::uint32_t sensitive = 0;
     /** Prompt tokens sent since the node's start. */
     TokensByLevel<std::uint64_t> promptTokens{};
+
+    bool operator==(const NodeLoad &) const = default;
 };
 
 /** What changed in a peer's load at an upstream. */
--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -26,7 +26,7 @@
     peer.sequence = report.sequence;
     peer.heardAt = now;
     for (const auto &load : report.loads)
-        applyLoad(peer, load, isFirst);
+        applyLoad(peer, load);
     for (const auto &[service, demand] : report.demands) {
         NodeDemand &last = peer.demands[service];
         // What a peer did before it was first heard of is no news.
@@ -37,15 +37,16 @@
     }
 }
 
-void PeerLoads::applyLoad(Peer &peer, const NodeLoad &load, bool isFirst)
+void PeerLoads::applyLoad(Peer &peer, const NodeLoad &load)
 {
-    NodeLoad &last = peer.loads[load.upstream];
+    const auto [entry, isNew] = peer.loads.try_emplace(load.upstream);
+    NodeLoad &last = entry->second;
     LoadChange change;
     change.upstream = load.upstream;
     change.running = static_cast<std::int64_t>(load.running) - last.running;
     change.sensitive = static_cast<std::int64_t>(load.sensitive) - last.sensitive;
-    // What a peer did before it was first heard of is no news.
-    for (std::size_t i = 0; !isFirst && i < kUrgencyLevels; ++i) {
+    // A report holds a part of the loads. What was sent before a load is first heard of is no news.
+    for (std::size_t i = 0; !isNew && i < kUrgencyLevels; ++i) {
         if (load.promptTokens[i] > last.promptTokens[i])
             change.promptTokens[i] = load.promptTokens[i] - last.promptTokens[i];
     }
--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -62,7 +62,7 @@
     };
 
     void takeBack(Peer &peer);
-    void applyLoad(Peer &peer, const NodeLoad &load, bool isFirst);
+    void applyLoad(Peer &peer, const NodeLoad &load);
 
     PeerLoadSink &m_sink;
     std::unordered_map<std::string, Peer> m_peers;
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -66,6 +66,7 @@
     report.boot = m_boot;
     report.sequence = ++m_sequence;
     m_collect(report);
+    report.loads = m_filter.select(report.loads);
     const std::string bytes = encodeReport(report);
     for (const auto &it : m_peers)
         m_parts.transport.send(NodeId(it), bytes);
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -5,6 +5,7 @@
 #include "core/interfaces/node_registry.h"
 #include "core/interfaces/peer_transport.h"
 #include "modules/peers/peer_loads.h"
+#include "modules/peers/report_filter.h"
 #include "servers/state/feed_follower.h"
 
 #include <functional>
@@ -66,6 +67,7 @@
     std::string m_address;
     Collect m_collect;
     PeerLoads m_loads;
+    ReportFilter m_filter;
     std::set<std::string> m_peers;
     std::mt19937_64 m_random;
     std::uint64_t m_boot;
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -30,6 +30,11 @@
     Duration longestPause = milliseconds(800);
     /** Pause after changes, so that several ones in a row come with one call. */
     Duration gather = milliseconds(120);
+    /**
+     * The age of what is known matters: a watch that follows a change is shorter, as an answer with
+     * changes confirms no more than the state at its start.
+     */
+    bool isAgeBounded = false;
 };
 
 /** Receives what a follower learns. */
@@ -76,6 +81,19 @@
     /** Starts to follow; the follower has to outlive the loop's run. */
     void start() { list(); }
 
+    /** Gives the present watch up, as when another call to the same store was lost. */
+    void suspect()
+    {
+        if (!m_listed || m_failures > 0)
+            return;
+        ++m_call;
+        m_loop.cancel(m_overdueTimer);
+        retry([this] { watch(); }, FeedError::Unavailable);
+    }
+
+    /** Sets what runs when a call is lost or refused after one that succeeded. */
+    void onContactLost(EventLoop::Task task) { m_contactLost = std::move(task); }
+
     /** @return true while the last call succeeded. */
     bool isInContact() const { return m_failures == 0 && m_listed; }
 
@@ -120,21 +138,36 @@
         logEvent(LogLevel::Info, "state_listed",
                  {{"kind", m_kind}, {"objects", m_items.size()}, {"revision", m_revision}});
         m_sink.onList(std::exchange(m_items, {}));
-        m_sink.onConfirmed(m_listStart);
+        confirm(m_listStart);
         watch();
     }
 
     void watch()
     {
         const TimePoint start = m_loop.now();
-        const auto call = beginCall(m_times.watch);
-        m_feed.watch(m_revision, m_times.watch, [this, call, start](Result result) {
+        const Duration wait = watchLength(start);
+        const auto call = beginCall(wait);
+        m_feed.watch(m_revision, wait, [this, call, start, wait](Result result) {
             if (endCall(call, "watch", result.error))
-                onWatched(std::move(result), start);
+                onWatched(std::move(result), start, wait);
         });
     }
 
-    void onWatched(Result result, TimePoint start)
+    Duration watchLength(TimePoint now) const
+    {
+        if (!m_times.isAgeBounded)
+            return m_times.watch;
+        constexpr Duration kShortest = milliseconds(200);
+        return std::clamp(m_times.watch - (now - m_confirmedAt), kShortest, m_times.watch);
+    }
+
+    void confirm(TimePoint at)
+    {
+        m_confirmedAt = at;
+        m_sink.onConfirmed(at);
+    }
+
+    void onWatched(Result result, TimePoint start, Duration wait)
     {
         if (result.error == FeedError::HistoryGone) {
             noteSuccess();
@@ -150,8 +183,8 @@
         m_revision = std::max(m_revision, result.revision);
         for (const auto &it : result.items)
             m_sink.onChange(it);
-        const bool waited = m_loop.now() - start >= m_times.watch;
-        m_sink.onConfirmed(waited && result.items.empty() ? start + m_times.watch : start);
+        const bool waited = m_loop.now() - start >= wait;
+        confirm(waited && result.items.empty() ? start + wait : start);
         if (result.items.empty() && waited)
             watch();
         else
@@ -202,7 +235,8 @@
         const auto doubled = m_times.firstPause * (1 << std::min(m_failures, 8U));
         const Duration pause = std::min<Duration>(doubled, m_times.longestPause);
         std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2, pause.count());
-        ++m_failures;
+        if (m_failures++ == 0 && m_contactLost)
+            m_contactLost();
         // A list that broke off in the middle starts anew.
         const bool relist = error == FeedError::Malformed || !m_listed;
         m_loop.after(Duration(spread(m_random)), relist ? [this] { list(); } : std::move(task));
@@ -216,11 +250,13 @@
     FollowerTimes m_times;
     std::mt19937_64 m_random;
     std::uint64_t m_call = 0;
+    EventLoop::Task m_contactLost;
     TimerId m_overdueTimer = 0;
     bool m_listed = false;
     std::uint32_t m_failures = 0;
     std::uint64_t m_revision = 0;
     TimePoint m_listStart{};
+    TimePoint m_confirmedAt{};
     std::uint64_t m_listRevision = 0;
     std::vector<FeedItem<Value>> m_items;
 };
