--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -57,6 +57,7 @@
 
 hawthornslip_test_program(drivers standin_lib)
 hawthornslip_test_program(servers hawthornslip_drivers standin_lib)
+hawthornslip_test_program(platform hawthornslip_drivers)
 hawthornslip_test_program(main standin_lib bench_lib)
 target_compile_definitions(main_tests PRIVATE HAWTHORNSLIP_BINARY="$<TARGET_FILE:hawthornslip>"
     HAWTHORNSLIP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- a/drivers/asio/udp_peer_transport.h
+++ b/drivers/asio/udp_peer_transport.h
@@ -17,6 +17,13 @@
     /** Binds the socket. @return false when the address cannot be used. */
     bool start(const ListenAddress &address);
 
+    /** @return the port in use, after start(). */
+    std::uint16_t port() const
+    {
+        boost::system::error_code ec;
+        return m_socket.local_endpoint(ec).port();
+    }
+
     void setReceiver(Receiver receiver) override { m_receiver = std::move(receiver); }
     void send(const NodeId &to, std::string bytes) override;
     void disconnect(const NodeId &) override {}
--- /dev/null
+++ b/tests/drivers/gateway_settings_test.cpp
@@ -0,0 +1,70 @@
+#include "drivers/toml/gateway_settings_reader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr std::string_view kWhole = R"([node]
+name = "edge-1"
+domain = "riga-a"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+metrics = "10.0.0.1:82"
+peers = "10.0.0.1:82"
+[store]
+address = "10.0.0.2:90"
+[keys]
+fail_closed = true
+revoke_within_ms = 5000
+[retries]
+ratio = 0.2
+window_ms = 10000
+)";
+
+} // namespace
+
+class GatewaySettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewaySettingsTest);
+    CPPUNIT_TEST(readsWholeFile);
+    CPPUNIT_TEST(namesEachFault);
+    CPPUNIT_TEST(refusesHalfAFile);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsWholeFile()
+    {
+        const auto result = parseGatewaySettings(kWhole);
+        CPPUNIT_ASSERT(result.faults.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{80}, result.settings.callers.port);
+        CPPUNIT_ASSERT_EQUAL(std::string("riga-a"), result.settings.domain.value);
+        CPPUNIT_ASSERT(result.settings.failClosed);
+        CPPUNIT_ASSERT(result.settings.revokeWithin == seconds(5));
+        CPPUNIT_ASSERT_EQUAL(0.2, result.settings.repeatRatio);
+    }
+
+    // Guards against a misspelt key that leaves a default in force without a word.
+    void namesEachFault()
+    {
+        const auto result = parseGatewaySettings(std::string(kWhole) +
+                                                 "[stop]\ngrace_m = 1\n[limits]\nmemory_mb = 1\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.faults.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("limits.memory_mb"), result.faults[0].key);
+        CPPUNIT_ASSERT(result.faults[1].message.find("grace_ms") != std::string::npos);
+    }
+
+    // Guards against a process that starts from a file that was cut off while it was written.
+    void refusesHalfAFile()
+    {
+        for (std::size_t size = 0; size < kWhole.find("[keys]"); ++size)
+            CPPUNIT_ASSERT(!parseGatewaySettings(kWhole.substr(0, size)).faults.empty() ||
+                           size >= kWhole.find("[keys]") - 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
+
+} // namespace hawthornslip
--- /dev/null
+++ b/tests/platform/decoders_test.cpp
@@ -0,0 +1,240 @@
+#include "platform/decoders.h"
+#include "platform/node_registry.h"
+#include "platform/object_feed.h"
+#include "platform/wire_headers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+
+namespace hawthornslip::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char *const kConfig = R"({"version":7,"routes":[
+{"name":"r1","host":"a.example","path_prefix":"/x/","route_kind":"streaming","timeout_ms":15000,"goal_ms":2000,
+ "priority":2,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,"public":false,
+ "sticky":true,"resumable":true,"gap_goal_ms":800},
+{"name":"r2","host":"a.example","path_prefix":"/y/","route_kind":"non_idempotent","service":"s2","public":true}],
+"services":[{"name":"s1","health_path":"/h","max_conns":370,"engine":{"slots":64,"kv_capacity":689070,"stride":5}},
+{"name":"s2","health_path":"/h","max_conns":110}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}]})";
+
+const char *const kServer =
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"riga-a","version":"v1","slots":64,
+"state":"ready","cold_left_ms":0,"sequence":4})";
+
+/** Gives each call the next scripted answer. */
+class ScriptedStore : public UpstreamClient
+{
+public:
+    std::shared_ptr<UpstreamCall> send(UpstreamRequest request,
+                                       std::shared_ptr<UpstreamHandler> handler) override
+    {
+        requests.push_back(request);
+        const auto [result, status, body] = answers.front();
+        answers.pop_front();
+        handler->onHeaders(status, {});
+        handler->onData(body);
+        handler->onEnd({result, status, "", false});
+        return nullptr;
+    }
+
+    struct Answer
+    {
+        UpstreamResult result = UpstreamResult::Complete;
+        int status = 200;
+        std::string body;
+    };
+    std::vector<UpstreamRequest> requests;
+    std::deque<Answer> answers;
+};
+
+} // namespace
+
+class DecodersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DecodersTest);
+    CPPUNIT_TEST(decodesConfig);
+    CPPUNIT_TEST(refusesBrokenConfig);
+    CPPUNIT_TEST(decodesServer);
+    CPPUNIT_TEST(refusesForeignServerEntries);
+    CPPUNIT_TEST(readsCallHeaders);
+    CPPUNIT_TEST(brokenHeadersAreNoValues);
+    CPPUNIT_TEST(feedReadsListAndWatch);
+    CPPUNIT_TEST(feedTellsErrorsApart);
+    CPPUNIT_TEST(registryTakesConflictForSuccess);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void decodesConfig()
+    {
+        const auto decoded = decodeConfig("main", Json::parse(kConfig));
+        CPPUNIT_ASSERT_MESSAGE(decoded.fault, decoded.value.has_value());
+        const auto &config = *decoded.value;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, config.version);
+        CPPUNIT_ASSERT(config.routes[0].kind == RouteKind::Streaming);
+        CPPUNIT_ASSERT(config.routes[0].isRepeatable());
+        CPPUNIT_ASSERT(config.routes[0].pauseObjective == milliseconds(800));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, config.routes[0].targets.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("s2"), config.routes[1].targets[0].service);
+        CPPUNIT_ASSERT(config.routes[1].isPublic);
+        CPPUNIT_ASSERT(!config.routes[1].isRepeatable());
+        CPPUNIT_ASSERT_EQUAL(64U, config.services[0].engine->slots);
+        CPPUNIT_ASSERT(config.limits.headerTimeout == seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::string("k2"), config.workspaces[0].apiKeys[1]);
+    }
+
+    // Guards against half a configuration that takes effect.
+    void refusesBrokenConfig()
+    {
+        for (const char *field : {"version", "routes"}) {
+            auto body = Json::parse(kConfig);
+            if (std::string(field) == "routes")
+                body["routes"][0]["route_kind"] = "other";
+            else
+                body.erase(field);
+            const auto decoded = decodeConfig("main", body);
+            CPPUNIT_ASSERT(!decoded.value);
+            CPPUNIT_ASSERT(!decoded.fault.empty());
+        }
+        CPPUNIT_ASSERT(!decodeConfig("main", Json("text")).value);
+        CPPUNIT_ASSERT(!decodeConfig("other", Json::parse(kConfig)).value);
+    }
+
+    void decodesServer()
+    {
+        auto body = Json::parse(kServer);
+        const auto decoded = decodeServer("i-1", body);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), decoded.value->id.value);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:80"), decoded.value->address);
+        CPPUNIT_ASSERT(!decoded.value->draining);
+        body["state"] = "draining";
+        CPPUNIT_ASSERT(decodeServer("i-1", body).value->draining);
+    }
+
+    // Guards against an entry of another writer that makes the node send requests somewhere.
+    void refusesForeignServerEntries()
+    {
+        for (const char *field : {"service", "address", "zone", "slots", "state"}) {
+            auto missing = Json::parse(kServer);
+            missing.erase(field);
+            CPPUNIT_ASSERT(!decodeServer("i-1", missing).value);
+            auto other = Json::parse(kServer);
+            other[field] = Json::array();
+            CPPUNIT_ASSERT(!decodeServer("i-1", other).value);
+        }
+        auto state = Json::parse(kServer);
+        state["state"] = "sleeping";
+        CPPUNIT_ASSERT(!decodeServer("i-1", state).value);
+        CPPUNIT_ASSERT(!decodeServer("i-1", Json()).value);
+    }
+
+    void readsCallHeaders()
+    {
+        const WireHeaders headers;
+        const auto meta = headers.readCall({{"x-hawthornslip-attempt-id", "9c41"},
+                                            {"x-hawthornslip-token-usage", "1460,80"},
+                                            {"x-hawthornslip-prefix-hash", "5c:800,91:410, e4:250"},
+                                            {"x-hawthornslip-deadline-ms", "15000"},
+                                            {"last-event-id", "12"},
+                                            {"authorization", "Bearer n2ct"}});
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41"), meta.requestId);
+        CPPUNIT_ASSERT_EQUAL(1460U, meta.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(80U, meta.maxAnswerTokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, meta.prompt.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e4"), meta.prompt[2].id);
+        CPPUNIT_ASSERT_EQUAL(250U, meta.prompt[2].tokens);
+        CPPUNIT_ASSERT(*meta.timeLeft == seconds(15));
+        CPPUNIT_ASSERT(*meta.lastEventId == 12);
+        CPPUNIT_ASSERT_EQUAL(std::string("n2ct"), meta.apiKey);
+        CPPUNIT_ASSERT(headers.isReserved("authorization"));
+        CPPUNIT_ASSERT(headers.isReserved("x-hawthornslip-tenant"));
+        CPPUNIT_ASSERT(headers.isReserved("kv-from"));
+        CPPUNIT_ASSERT(!headers.isReserved("x-hawthornslip-model"));
+    }
+
+    void brokenHeadersAreNoValues()
+    {
+        const auto meta = WireHeaders().readCall({{"x-hawthornslip-token-usage", "a,b"},
+                                                  {"x-hawthornslip-prefix-hash", ",:,x,9:"},
+                                                  {"x-hawthornslip-deadline-ms", "1e9"},
+                                                  {"last-event-id", "-1"},
+                                                  {"authorization", "Basic abc"}});
+        CPPUNIT_ASSERT_EQUAL(0U, meta.promptTokens);
+        CPPUNIT_ASSERT(!meta.timeLeft);
+        CPPUNIT_ASSERT(!meta.lastEventId);
+        CPPUNIT_ASSERT(meta.apiKey.empty());
+    }
+
+    void feedReadsListAndWatch()
+    {
+        ScriptedStore store;
+        const auto feed = makeUpstreamFeed(store, "10.0.0.2:90");
+        const std::string object =
+                std::string(R"({"metadata":{"name":"i-1","revision":4},"spec":)") + kServer + "}";
+        store.answers.push_back({UpstreamResult::Complete, 200,
+                                 R"({"entries":[)" + object + R"(],"has_more":true,"as_of":530})"});
+        FeedResult<UpstreamEntry> got;
+        feed->list("i-0", [&got](FeedResult<UpstreamEntry> result) { got = std::move(result); });
+        CPPUNIT_ASSERT_EQUAL(std::string("http://10.0.0.2:90/objects/servers?after=i-0"),
+                             store.requests[0].url);
+        CPPUNIT_ASSERT(got.hasMore);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{530}, got.revision);
+        CPPUNIT_ASSERT(got.items.at(0).value.has_value());
+        store.answers.push_back(
+                {UpstreamResult::Complete, 200,
+                 R"({"events":[{"deleted":true,"object":)" + object + R"(}],"as_of":533})"});
+        feed->watch(530, seconds(2),
+                    [&got](FeedResult<UpstreamEntry> result) { got = std::move(result); });
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("http://10.0.0.2:90/objects/servers?watch=530&wait_ms=2000"),
+                store.requests[1].url);
+        CPPUNIT_ASSERT(got.items.at(0).removed);
+    }
+
+    // Guards against a refusal of the store that passes for an empty list.
+    void feedTellsErrorsApart()
+    {
+        using Answer = ScriptedStore::Answer;
+        const std::vector<std::pair<FeedError, Answer>> cases = {
+                {FeedError::HistoryGone, {UpstreamResult::Complete, 410, ""}},
+                {FeedError::RateLimited, {UpstreamResult::Complete, 429, ""}},
+                {FeedError::Unavailable, {UpstreamResult::Complete, 503, ""}},
+                {FeedError::Unavailable, {UpstreamResult::Broken, 200, R"({"entries":[]})"}},
+                {FeedError::Malformed, {UpstreamResult::Complete, 200, "{"}},
+                {FeedError::Malformed, {UpstreamResult::Complete, 200, R"({"entries":[]})"}},
+        };
+        for (const auto &[error, answer] : cases) {
+            ScriptedStore store;
+            store.answers.push_back(answer);
+            FeedError got = FeedError::None;
+            makeConfigFeed(store, "a:1")->list("", [&got](const FeedResult<RoutingConfig> &result) {
+                got = result.error;
+            });
+            CPPUNIT_ASSERT(got == error);
+        }
+    }
+
+    void registryTakesConflictForSuccess()
+    {
+        for (const auto &[status, expected] :
+             std::vector<std::pair<int, bool>>{{200, true}, {409, true}, {503, false}}) {
+            ScriptedStore store;
+            store.answers.push_back({UpstreamResult::Complete, status, ""});
+            bool got = !expected;
+            ObjectNodeRegistry registry(store, "a:1");
+            registry.announce("10.0.0.1:7000", [&got](bool done) { got = done; });
+            CPPUNIT_ASSERT_EQUAL(expected, got);
+            CPPUNIT_ASSERT(store.requests[0].body.find("10.0.0.1:7000") != std::string::npos);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DecodersTest);
+
+} // namespace hawthornslip::platform
