--- /dev/null
+++ b/tests/soak/gateway_process_runner.cpp
@@ -0,0 +1,96 @@
+#include "tests/soak/gateway_process_runner.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+extern char **environ;
+
+namespace hawthornslip::soak {
+
+GatewayProcessRunner::GatewayProcessRunner(std::string binary, std::string folder,
+                                           std::size_t index, GatewayPorts ports)
+    : m_binary(std::move(binary))
+    , m_folder(std::move(folder))
+    , m_index(index)
+    , m_ports(ports)
+{
+    writeSettings();
+}
+
+GatewayProcessRunner::~GatewayProcessRunner()
+{
+    if (!isRunning())
+        return;
+    signal(SIGCONT);
+    signal(SIGKILL);
+    waitpid(m_pid, &m_lastStatus, 0);
+}
+
+void GatewayProcessRunner::writeSettings() const
+{
+    std::ofstream file(fmt::format("{}/gateway{}.toml", m_folder, m_index));
+    file << fmt::format("[node]\nname = \"gateway{}\"\ndomain = \"here\"\n"
+                        "[listen]\ncallers = \"127.0.0.1:{}\"\nreadiness = \"127.0.0.1:{}\"\n"
+                        "metrics = \"127.0.0.1:{}\"\npeers = \"127.0.0.1:{}\"\n"
+                        "[store]\naddress = \"127.0.0.1:{}\"\n"
+                        "[keys]\nfail_closed = true\nrevoke_within_ms = 5000\n"
+                        "[upstreams]\ndrain_within_ms = 2000\n"
+                        "[retries]\nratio = 0.2\nwindow_ms = 10000\n[stop]\ngrace_ms = 8000\n",
+                        m_index, m_ports.callers, m_ports.readiness, m_ports.metrics,
+                        m_ports.metrics, m_ports.store);
+}
+
+bool GatewayProcessRunner::start()
+{
+    const std::string settings = fmt::format("{}/gateway{}.toml", m_folder, m_index);
+    const std::string log = fmt::format("{}/gateway{}.log", m_folder, m_index);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    std::string command = "gateway";
+    std::string option = "--settings";
+    std::string path = settings;
+    std::array<char *, 5> arguments = {m_binary.data(), command.data(), option.data(), path.data(),
+                                       nullptr};
+    const int error =
+            posix_spawn(&m_pid, m_binary.c_str(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0)
+        m_pid = 0;
+    return error == 0;
+}
+
+void GatewayProcessRunner::signal(int number)
+{
+    if (m_pid != 0)
+        kill(m_pid, number);
+}
+
+bool GatewayProcessRunner::isRunning()
+{
+    if (m_pid == 0)
+        return false;
+    if (waitpid(m_pid, &m_lastStatus, WNOHANG) == m_pid)
+        m_pid = 0;
+    return m_pid != 0;
+}
+
+std::uint16_t freePort()
+{
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor acceptor(
+            context, {boost::asio::ip::address_v4::loopback(), 0}, false);
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace hawthornslip::soak
--- /dev/null
+++ b/tests/soak/gateway_process_runner.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+
+namespace hawthornslip::soak {
+
+/** The ports of one gateway on loopback. */
+struct GatewayPorts
+{
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t metrics = 0;
+    /** The gateway's own way to the store, through a proxy. */
+    std::uint16_t store = 0;
+};
+
+/** Starts, signals and watches one real gateway process. */
+class GatewayProcessRunner
+{
+public:
+    /** @param folder for its settings and its log. */
+    GatewayProcessRunner(std::string binary, std::string folder, std::size_t index,
+                         GatewayPorts ports);
+    ~GatewayProcessRunner();
+
+    /** Starts the process. @return false when it could not be started. */
+    bool start();
+
+    /** Sends a signal to the process, if it runs. */
+    void signal(int number);
+
+    /** @return true while the process runs; takes note when it has ended. */
+    bool isRunning();
+
+    /** @return the status of the last end as wait() gives it. */
+    int lastStatus() const { return m_lastStatus; }
+    const GatewayPorts &ports() const { return m_ports; }
+
+private:
+    void writeSettings() const;
+
+    std::string m_binary;
+    std::string m_folder;
+    std::size_t m_index;
+    GatewayPorts m_ports;
+    pid_t m_pid = 0;
+    int m_lastStatus = 0;
+};
+
+/** @return a port on loopback that was free a moment ago. */
+std::uint16_t freePort();
+
+} // namespace hawthornslip::soak
--- /dev/null
+++ b/tests/soak/judge.cpp
@@ -0,0 +1,168 @@
+#include "tests/soak/judge.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace hawthornslip::soak {
+
+namespace {
+
+// The first second of a window may lie in the one before it, for which its requests count.
+constexpr int kWindows = 2;
+
+std::string eventText(const std::string &id, std::size_t n)
+{
+    return fmt::format("id: {}\ndata: {} {}\n\n", n, id, n);
+}
+
+} // namespace
+
+Kind kindOf(const std::string &path)
+{
+    if (path.starts_with("/read/"))
+        return Kind::Read;
+    if (path.starts_with("/chat/"))
+        return Kind::Chat;
+    return path.starts_with("/draft/") ? Kind::Draft : Kind::Order;
+}
+
+void Judge::onFault(std::size_t gateway, TimePoint until, bool planned)
+{
+    auto &troubled = planned ? m_stoppedUntil : m_troubledUntil;
+    troubled[gateway] = std::max(troubled[gateway], until);
+}
+
+bool Judge::isUndisturbed(std::size_t gateway, TimePoint at) const
+{
+    const auto it = m_troubledUntil.find(gateway);
+    const bool calm = it == m_troubledUntil.end() || at >= it->second + m_bounds.calmAfter;
+    return calm && at >= m_allTroubledUntil + m_bounds.calmAfter;
+}
+
+bool Judge::isCalm(std::size_t gateway, TimePoint at) const
+{
+    const auto it = m_stoppedUntil.find(gateway);
+    const bool runs = it == m_stoppedUntil.end() || at >= it->second + m_bounds.calmAfter;
+    return runs && isUndisturbed(gateway, at);
+}
+
+void Judge::checkPlannedStop(const CallerOutcome &outcome)
+{
+    const bool isBroken = outcome.status == 0 || !outcome.isWhole;
+    // A request that crossed the close of its connection reached no upstream.
+    const bool passedOn = m_sent[outcome.id].arrivals > 0;
+    if (isBroken && passedOn && isUndisturbed(outcome.gateway, outcome.sentAt) &&
+        isUndisturbed(outcome.gateway, outcome.endedAt))
+        report(fmt::format("request {} at gateway {} was cut off after {} ms without a fault",
+                           outcome.id, outcome.gateway,
+                           toMillis(outcome.endedAt - outcome.sentAt)));
+}
+
+void Judge::onSent(const std::string &id, const std::string &key, TimePoint at)
+{
+    m_sent[id] = Sent{key, at, 0, 0};
+    m_requests.push_back(at);
+}
+
+void Judge::onArrival(const std::string &id, const std::string &upstream, std::size_t gateway,
+                      TimePoint at)
+{
+    const auto it = m_sent.find(id);
+    if (it == m_sent.end()) {
+        report(fmt::format("request {} reached {} but no caller sent it", id, upstream));
+        return;
+    }
+    if (++it->second.arrivals > 1) {
+        m_repeats.push_back(at);
+        checkBudget(at);
+    }
+    const auto drain = m_draining.find(upstream);
+    if (drain != m_draining.end() && at > drain->second + m_bounds.drainWithin &&
+        isCalm(gateway, at))
+        report(fmt::format("request {} reached {} {} ms after it drained", id, upstream,
+                           toMillis(at - drain->second)));
+}
+
+void Judge::onRun(const std::string &id, Kind kind, const std::string &service, TimePoint at)
+{
+    auto &sent = m_sent[id];
+    ++sent.runs;
+    if (kind == Kind::Order && sent.runs > 1)
+        report(fmt::format("order {} ran {} times", id, sent.runs));
+    const auto revoked = m_revoked.find(sent.key);
+    if (revoked != m_revoked.end() && sent.at > revoked->second + m_bounds.revokeWithin)
+        report(fmt::format("request {} ran {} ms after its key was revoked", id,
+                           toMillis(sent.at - revoked->second)));
+    const bool late = m_movedAt != TimePoint::max() && sent.at > m_movedAt + m_bounds.applyWithin;
+    if (kind == Kind::Order && late && service != m_movedTo && isCalm(0, at))
+        report(fmt::format("order {} ran at {} {} ms after the move", id, service,
+                           toMillis(sent.at - m_movedAt)));
+}
+
+void Judge::onOutcome(const CallerOutcome &outcome)
+{
+    ++m_statuses[outcome.status];
+    const bool promises = outcome.status == 503 || outcome.status == 429 || outcome.status == 408 ||
+                          outcome.status == 421;
+    if (promises && (outcome.kind == Kind::Order || outcome.kind == Kind::Chat))
+        m_refused.push_back(outcome);
+    if (outcome.status == 200)
+        checkAnswer(outcome);
+    checkPlannedStop(outcome);
+}
+
+void Judge::checkAnswer(const CallerOutcome &outcome)
+{
+    if (outcome.kind == Kind::Chat || outcome.kind == Kind::Draft) {
+        checkStream(outcome);
+        return;
+    }
+    if (outcome.isWhole && outcome.body != "done " + outcome.id)
+        report(fmt::format("request {} got the answer \"{}\"", outcome.id, outcome.body));
+}
+
+void Judge::checkStream(const CallerOutcome &outcome)
+{
+    std::string_view rest = outcome.body;
+    std::size_t n = 0;
+    while (!rest.empty()) {
+        const std::string expected = eventText(outcome.id, n + 1);
+        if (!rest.starts_with(expected)) {
+            report(fmt::format("stream {} goes on after event {} with \"{}\"", outcome.id, n,
+                               rest.substr(0, 60)));
+            return;
+        }
+        rest.remove_prefix(expected.size());
+        ++n;
+    }
+    if (outcome.isWhole && n == 0)
+        report(fmt::format("stream {} ended without an event", outcome.id));
+}
+
+void Judge::checkBudget(TimePoint now)
+{
+    while (!m_repeats.empty() && m_repeats.front() <= now - m_bounds.repeatWindow)
+        m_repeats.pop_front();
+    while (!m_requests.empty() && m_requests.front() <= now - kWindows * m_bounds.repeatWindow)
+        m_requests.pop_front();
+    const double allowed = m_bounds.repeatRatio * static_cast<double>(m_requests.size());
+    if (static_cast<double>(m_repeats.size()) > allowed)
+        report(fmt::format("{} repeats in a window with {} requests", m_repeats.size(),
+                           m_requests.size()));
+}
+
+void Judge::finish()
+{
+    for (const auto &it : m_refused) {
+        if (m_sent[it.id].runs > 0)
+            report(fmt::format("request {} was refused with {} and ran", it.id, it.status));
+    }
+}
+
+void Judge::report(const std::string &text)
+{
+    m_violations.push_back(text);
+}
+
+} // namespace hawthornslip::soak
