--- a/modules/balancing/engine_partition.cpp
+++ b/modules/balancing/engine_partition.cpp
@@ -9,6 +9,8 @@
 
 // Time constant of the averages: a node sees a few long prompts a second, and bursts last seconds.
 constexpr double kMemorySeconds = 4;
+// Part of the engines that long prompts keep when dialogues need more than there are.
+constexpr double kLeastTolerant = 0.3;
 // Engines by which the wanted boundary has to differ before it moves.
 constexpr double kHysteresis = 0.75;
 // Below this share of the tokens a kind gets no engines of its own.
@@ -22,7 +24,7 @@
     (tolerance == PauseTolerance::Tolerant ? m_tolerant : m_sensitive) += tokens;
 }
 
-std::size_t EnginePartition::tolerantEngines(std::size_t engines)
+std::size_t EnginePartition::tolerantEngines(std::size_t engines, double sensitiveNeeded)
 {
     const double all = m_sensitive + m_tolerant;
     if (engines < 2 || all <= 0)
@@ -32,8 +34,9 @@
         return 0;
     if (share > 1 - kLeastShare)
         return engines;
-    const double wanted =
-            std::clamp(share * static_cast<double>(engines), 1.0, static_cast<double>(engines - 1));
+    const auto count = static_cast<double>(engines);
+    const double left = std::max(count - sensitiveNeeded, count * kLeastTolerant);
+    const double wanted = std::clamp(std::min(share * count, left), 1.0, count - 1);
     // A boundary that moves takes the cached prompts of an engine out of use.
     if (m_engines != engines || std::abs(wanted - static_cast<double>(m_count)) > kHysteresis)
         m_count = static_cast<std::size_t>(std::lround(wanted));
--- a/modules/balancing/engine_partition.h
+++ b/modules/balancing/engine_partition.h
@@ -21,7 +21,8 @@
  * Answers the load in which long prompts and short dialogues share engines: each part of a prompt
  * that an engine reads holds up the next token of all its other requests, so that a few long
  * prompts make every dialogue beside them late. Each kind gets engines in proportion to the prompt
- * tokens that it brought lately, so that all engines read about as much.
+ * tokens that it brought lately, so that all engines read about as much; dialogues get more when
+ * their running requests need more, as a dialogue that finds no slot displaces a long prompt.
  */
 class EnginePartition
 {
@@ -31,10 +32,11 @@
 
     /**
      * @param engines how many there are.
+     * @param sensitiveNeeded how many the running requests that bear no pauses fill.
      * @return how many of them, the first ones in an order that all nodes share, take the requests
      *         that bear pauses. The others take the rest.
      */
-    std::size_t tolerantEngines(std::size_t engines);
+    std::size_t tolerantEngines(std::size_t engines, double sensitiveNeeded);
 
 private:
     void fade(TimePoint now);
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -19,18 +19,18 @@
 constexpr double kRunningSeconds = 0.001;
 // A request that finds all slots taken waits for one of many to end.
 constexpr double kFullSeconds = 1;
+// Part of an engine's slots that dialogues fill on average; the rest takes their swings.
+constexpr double kDialogueFill = 0.7;
+constexpr double kReservedSlots = 0.125;
 // Reading a shared prompt once more takes an engine's time from everyone, not only from this
 // request, so it weighs more than its own time.
-constexpr double kRereadWeight = 4;
-constexpr double kThirdHomeWeight = 6;
+constexpr double kRereadWeight = 6;
 // A long prompt that comes among dialogues, as on an engine that has just changed sides, makes each
 // of them late; it rather waits at another engine.
 constexpr double kDisturbedSeconds = 0.15;
 constexpr double kMostDisturbed = 1.5;
 // A dialogue that goes among long prompts gets its first event soon and late pauses after it.
 constexpr double kSensitiveOutside = 0.5;
-// A long prompt among dialogues makes all of them late.
-constexpr double kTolerantOutside = 100;
 
 } // namespace
 
@@ -63,11 +63,11 @@
 {
     const Range range = engineRange(demand);
     const Homes homes = homesOf(demand, range, now);
-    const double outsideCost =
-            demand.tolerance == PauseTolerance::Tolerant ? kTolerantOutside : kSensitiveOutside;
+
     const State *best = nullptr;
     bool bestAvoided = true;
     bool bestOutside = false;
+    bool bestFull = true;
     double least = 0;
     const std::size_t n = m_order.size();
     // Starts at another one each time, so that equal ones take turns.
@@ -80,32 +80,36 @@
         const State &state = m_states.at(id);
         const bool avoided = now < state.avoidUntil;
         const bool outside = place < range.first || place >= range.last;
-        const double cost = costOf(state, demand, homes, now) + (outside ? outsideCost : 0);
-        if (best != nullptr && std::tie(avoided, cost) >= std::tie(bestAvoided, least))
+        // A long prompt rather waits than goes among dialogues.
+        const bool barred = outside && demand.tolerance == PauseTolerance::Tolerant;
+        const bool full = barred || isFullFor(state, demand);
+        const double cost = costOf(state, demand, homes, now) + (outside ? kSensitiveOutside : 0);
+        if (best != nullptr &&
+            std::tie(avoided, full, cost) >= std::tie(bestAvoided, bestFull, least))
             continue;
         best = &state;
         least = cost;
         bestAvoided = avoided;
         bestOutside = outside;
+        bestFull = full;
     }
     if (best == nullptr)
         return std::nullopt;
-    const bool home = best == homes.first;
-    const double tokens = demand.ownTokens + (home ? 0 : demand.sharedTokens);
+    const double tokens = demand.ownTokens + rereadPart(*best, homes) * demand.sharedTokens;
     return Placement{best->entry,
                      demand.level,
                      best->prefill.wait(demand.level, now),
                      best->prefill.readTime(tokens),
                      tokens,
                      bestOutside,
+                     bestFull,
                      demand.tolerance};
 }
 
 double ServiceBalancer::costOf(const State &state, const Demand &demand, const Homes &homes,
                                TimePoint now) const
 {
-    const auto running = static_cast<double>(state.running) +
-                         static_cast<double>(std::max<std::int64_t>(0, state.peersRunning));
+    const double running = runningOf(state);
     double cost = toSeconds(state.prefill.wait(demand.level, now)) + kRunningSeconds * running;
     if (running >= state.entry.slots)
         cost += kFullSeconds * (1 + running - state.entry.slots);
@@ -114,45 +118,80 @@
                                static_cast<double>(std::max<std::int64_t>(0, state.peersSensitive));
         cost += std::min(kMostDisturbed, kDisturbedSeconds * sensitive);
     }
-    if (&state == homes.first)
-        return cost;
-    const double weight = &state == homes.second ? kRereadWeight : kThirdHomeWeight;
-    return cost + weight * toSeconds(state.prefill.readTime(demand.sharedTokens));
+    const double reread = kRereadWeight * rereadPart(state, homes);
+    return cost + reread * toSeconds(state.prefill.readTime(demand.sharedTokens));
+}
+
+double ServiceBalancer::runningOf(const State &state)
+{
+    return static_cast<double>(state.running) +
+           static_cast<double>(std::max<std::int64_t>(0, state.peersRunning));
+}
+
+bool ServiceBalancer::isFullFor(const State &state, const Demand &demand)
+{
+    if (demand.ownTokens == 0)
+        return false;
+    const double slots = state.entry.slots;
+    // An urgent request that finds no slot makes the engine drop a less urgent one, whose prompt is
+    // then read again; so those that can wait leave a few slots free.
+    const double reserve = demand.tolerance == PauseTolerance::Tolerant
+                                   ? std::max(1.0, slots * kReservedSlots)
+                                   : 0;
+    return runningOf(state) >= slots - reserve;
 }
 
 ServiceBalancer::Range ServiceBalancer::engineRange(const Demand &demand)
 {
     const std::size_t n = m_order.size();
-    const std::size_t tolerant = m_partition.tolerantEngines(n);
+    const std::size_t tolerant = m_partition.tolerantEngines(n, enginesOfDialogues());
     if (demand.tolerance == PauseTolerance::Tolerant)
         return tolerant == 0 ? Range{0, n} : Range{0, tolerant};
     return tolerant == n ? Range{0, n} : Range{tolerant, n};
 }
 
+double ServiceBalancer::enginesOfDialogues() const
+{
+    double needed = 0;
+    for (const auto &id : m_order) {
+        const State &state = m_states.at(id);
+        const auto sensitive = static_cast<double>(state.sensitive) +
+                               static_cast<double>(std::max<std::int64_t>(0, state.peersSensitive));
+        needed += sensitive / (kDialogueFill * std::max(1U, state.entry.slots));
+    }
+    return needed;
+}
+
 ServiceBalancer::Homes ServiceBalancer::homesOf(const Demand &demand, Range range,
                                                 TimePoint now) const
 {
-    Homes homes;
+    Homes homes{};
     if (demand.affinityKey == 0)
         return homes;
-    std::uint64_t highest = 0;
-    std::uint64_t next = 0;
+    std::array<std::uint64_t, kHomes> weights{};
     for (std::size_t i = range.first; i < range.last; ++i) {
-        const State &state = m_states.at(m_order[i]);
-        if (now < state.avoidUntil)
+        const State *state = &m_states.at(m_order[i]);
+        if (now < state->avoidUntil)
             continue;
-        const std::uint64_t weight = rendezvousWeight(demand.affinityKey, state.hash);
-        if (homes.first == nullptr || weight > highest) {
-            homes.second = std::exchange(homes.first, &state);
-            next = std::exchange(highest, weight);
-        } else if (homes.second == nullptr || weight > next) {
-            homes.second = &state;
-            next = weight;
+        std::uint64_t weight = rendezvousWeight(demand.affinityKey, state->hash);
+        for (std::size_t rank = 0; rank < kHomes && state != nullptr; ++rank) {
+            if (homes[rank] != nullptr && weight <= weights[rank])
+                continue;
+            std::swap(homes[rank], state);
+            std::swap(weights[rank], weight);
         }
     }
     return homes;
 }
 
+double ServiceBalancer::rereadPart(const State &state, const Homes &homes)
+{
+    const auto home = std::find(homes.begin(), homes.end(), &state);
+    if (home == homes.end())
+        return 1;
+    return static_cast<double>(home - homes.begin()) / static_cast<double>(kHomes);
+}
+
 void ServiceBalancer::onRequest(const Demand &demand, TimePoint now)
 {
     if (demand.ownTokens == 0)
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -6,6 +6,7 @@
 #include "modules/routing/routing_config.h"
 #include "modules/upstreams/upstream_directory.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,6 +44,8 @@
     double tokens = 0;
     /** The engine is one of those that the other kind of requests goes to. */
     bool isOutside = false;
+    /** The engine has no slot for it now. */
+    bool isFull = false;
     PauseTolerance tolerance = PauseTolerance::Sensitive;
 };
 
@@ -154,15 +157,20 @@
         std::size_t first = 0;
         std::size_t last = 0;
     };
-    /** The two upstreams that a shared prompt prefers. */
-    struct Homes
-    {
-        const State *first = nullptr;
-        const State *second = nullptr;
-    };
+    static constexpr std::size_t kHomes = 4;
+    /**
+     * The upstreams that a shared prompt prefers, in an order that all nodes share. What finds the
+     * first one full goes to the next, so that the prompt is read by as few as carry its requests.
+     */
+    using Homes = std::array<const State *, kHomes>;
 
+    static double runningOf(const State &state);
+    static bool isFullFor(const State &state, const Demand &demand);
     Range engineRange(const Demand &demand);
+    double enginesOfDialogues() const;
     Homes homesOf(const Demand &demand, Range range, TimePoint now) const;
+    /** @return the part of a shared prompt that probably has to be read at @p state. */
+    static double rereadPart(const State &state, const Homes &homes);
     double costOf(const State &state, const Demand &demand, const Homes &homes,
                   TimePoint now) const;
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -178,7 +178,7 @@
     const auto placement = m_lane->balancer.place(m_demand, m_tried, m_gateway.parts().loop.now());
     if (!placement)
         fail(Reason::NoUpstream);
-    else if (isRoomAt(*placement))
+    else if (isRoomAt(*placement) || (isHopeless(*placement) && goesBeforeOthers()))
         send(*placement);
     else if (isHopeless(*placement))
         fail(Reason::DeadlineUnreachable);
@@ -189,7 +189,7 @@
 bool Exchange::isRoomAt(const Placement &placement) const
 {
     const Duration ahead = std::max<Duration>(kLeastAhead, m_route->objective / kAheadPart);
-    return placement.wait <= ahead;
+    return !placement.isFull && placement.wait <= ahead;
 }
 
 bool Exchange::isHopeless(const Placement &placement) const
@@ -200,6 +200,14 @@
     return first > m_route->objective || held > m_route->objective / kHoldPart;
 }
 
+bool Exchange::goesBeforeOthers() const
+{
+    // While less urgent requests are let in, this one is not refused on an estimate: it goes first
+    // at the engine, and the estimate then keeps the others out.
+    return m_demand.ownTokens > 0 && m_spentBefore < m_route->objective &&
+           m_lane->hasSentLessUrgent(m_demand.level, m_gateway.parts().loop.now());
+}
+
 HoldRank Exchange::holdRank() const
 {
     HoldRank rank;
@@ -224,7 +232,7 @@
     m_ticket = 0;
     if (!placement)
         fail(Reason::NoUpstream);
-    else if (isRoomAt(*placement))
+    else if (isRoomAt(*placement) || goesBeforeOthers())
         send(*placement);
     else
         fail(Reason::DeadlineUnreachable);
@@ -243,6 +251,7 @@
     m_hadFirstEvent = false;
     m_sentAt = m_gateway.parts().loop.now();
     m_lane->balancer.onSent(placement, m_sentAt);
+    m_lane->sentAt[m_demand.level] = m_sentAt;
     m_gateway.noteLoadChanged();
     // From here on the driver may write at any moment.
     m_ledger.set(AttemptState::Sent);
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -56,6 +56,7 @@
     void hold(const Placement &placement);
     bool isRoomAt(const Placement &placement) const;
     bool isHopeless(const Placement &placement) const;
+    bool goesBeforeOthers() const;
     HoldRank holdRank() const;
     void send(const Placement &placement);
     UpstreamRequest buildRequest(const UpstreamEntry &upstream) const;
--- a/servers/gateway/service_lane.h
+++ b/servers/gateway/service_lane.h
@@ -5,6 +5,8 @@
 #include "modules/retry/window_budget.h"
 #include "modules/upstreams/upstream_directory.h"
 
+#include <algorithm>
+#include <array>
 #include <string>
 
 namespace hawthornslip {
@@ -21,6 +23,18 @@
     ServiceBalancer balancer;
     WindowBudget repeats;
     HoldQueue held;
+    /** When a request of each level of urgency was last sent. */
+    std::array<TimePoint, kUrgencyLevels> sentAt{};
+
+    /** @return true when requests less urgent than @p level were sent lately. */
+    bool hasSentLessUrgent(std::size_t level, TimePoint now) const
+    {
+        // A node sends a few requests of each kind a second.
+        static constexpr Duration kLately = seconds(2);
+        return std::any_of(sentAt.begin() + static_cast<std::ptrdiff_t>(level) + 1, sentAt.end(),
+                           [now](TimePoint at) { return now - at < kLately; });
+    }
+
     /** A look at the held requests is due. */
     bool pumpScheduled = false;
     /** Revision of the directory that the balancer shows. */
