Watch shortly after a lost call, learn the reading rate together, keep to homes

Change: after a lost call the next watch lasts 200 ms; test watchAfterLostCallIsShort. Change: one rate for the engines of a service; a large shared prompt is held for a quarter of its objective before it goes elsewhere.

--- a/modules/balancing/prefill_queue.cpp
+++ b/modules/balancing/prefill_queue.cpp
@@ -10,7 +10,7 @@
 constexpr double kFirstRate = 50'000;
 constexpr double kLowestRate = 5'000;
 constexpr double kHighestRate = 500'000;
-constexpr double kGain = 0.1;
+constexpr double kGain = 0.05;
 // Part of the reading rate that prompts may use. At 0.7 the mean step is about three times that
 // without prompts, so that long answers still end within their time limit.
 constexpr double kUsedPart = 0.5;
@@ -48,7 +48,11 @@
             std::chrono::duration<double>(tokens / m_tokensPerSecond));
 }
 
-void PrefillQueue::observe(double tokens, Duration took)
+ReadingRate::ReadingRate()
+    : m_tokensPerSecond(kFirstRate)
+{}
+
+void ReadingRate::observe(double tokens, Duration took)
 {
     if (tokens < kLeastTokens || took <= kFixedTime)
         return;
--- a/modules/balancing/prefill_queue.h
+++ b/modules/balancing/prefill_queue.h
@@ -34,19 +34,37 @@
     /** @return how long the engine takes to read @p tokens of a prompt. */
     Duration readTime(double tokens) const;
 
+    /** Sets how fast the engine reads prompts. */
+    void setRate(double tokensPerSecond) { m_tokensPerSecond = tokensPerSecond; }
+
+private:
+    TokensByLevel<double> drainedAt(TimePoint now) const;
+
+    TokensByLevel<double> m_tokens{};
+    TimePoint m_at{};
+    double m_tokensPerSecond;
+};
+
+/**
+ * Learns how fast the engines of a service read prompts. A node sees each engine seldom, so that
+ * all of them together are the measure.
+ */
+class ReadingRate
+{
+public:
+    ReadingRate();
+
     /**
-     * Learns from a prompt that found the engine idle.
+     * Learns from a prompt that found its engine idle.
      *
      * @param tokens that had to be read.
      * @param took from sending to the first event.
      */
     void observe(double tokens, Duration took);
 
-private:
-    TokensByLevel<double> drainedAt(TimePoint now) const;
+    double tokensPerSecond() const { return m_tokensPerSecond; }
 
-    TokensByLevel<double> m_tokens{};
-    TimePoint m_at{};
+private:
     double m_tokensPerSecond;
 };
 
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -95,13 +95,15 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    const double tokens = demand.ownTokens + rereadPart(*best, homes) * demand.sharedTokens;
+    const std::size_t rank = rankOf(*best, homes);
+    const double tokens = demand.ownTokens + rereadPart(rank) * demand.sharedTokens;
     return Placement{best->entry,
                      demand.level,
                      best->prefill.wait(demand.level, now),
                      best->prefill.readTime(tokens),
                      tokens,
                      bestOutside,
+                     rank,
                      bestFull,
                      demand.tolerance};
 }
@@ -118,7 +120,7 @@
                                static_cast<double>(std::max<std::int64_t>(0, state.peersSensitive));
         cost += std::min(kMostDisturbed, kDisturbedSeconds * sensitive);
     }
-    const double reread = kRereadWeight * rereadPart(state, homes);
+    const double reread = kRereadWeight * rereadPart(rankOf(state, homes));
     return cost + reread * toSeconds(state.prefill.readTime(demand.sharedTokens));
 }
 
@@ -184,12 +186,14 @@
     return homes;
 }
 
-double ServiceBalancer::rereadPart(const State &state, const Homes &homes)
+std::size_t ServiceBalancer::rankOf(const State &state, const Homes &homes)
 {
-    const auto home = std::find(homes.begin(), homes.end(), &state);
-    if (home == homes.end())
-        return 1;
-    return static_cast<double>(home - homes.begin()) / static_cast<double>(kHomes);
+    return static_cast<std::size_t>(std::find(homes.begin(), homes.end(), &state) - homes.begin());
+}
+
+double ServiceBalancer::rereadPart(std::size_t homeRank)
+{
+    return static_cast<double>(homeRank) / static_cast<double>(kHomes);
 }
 
 void ServiceBalancer::onRequest(const Demand &demand, TimePoint now)
@@ -217,9 +221,11 @@
 {
     // Only a prompt that found nothing before it tells the reading rate.
     constexpr Duration kIdleWait = milliseconds(10);
-    const auto it = m_states.find(placement.upstream.id);
-    if (it != m_states.end() && placement.wait < kIdleWait)
-        it->second.prefill.observe(placement.tokens, took);
+    if (placement.wait >= kIdleWait)
+        return;
+    m_rate.observe(placement.tokens, took);
+    for (auto &[id, state] : m_states)
+        state.prefill.setRate(m_rate.tokensPerSecond());
 }
 
 void ServiceBalancer::onEnded(const Placement &placement, AttemptVerdict verdict, TimePoint now)
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -44,6 +44,8 @@
     double tokens = 0;
     /** The engine is one of those that the other kind of requests goes to. */
     bool isOutside = false;
+    /** Place among the prompt's preferred upstreams, 0 the first; their number when it is none. */
+    std::size_t homeRank = 0;
     /** The engine has no slot for it now. */
     bool isFull = false;
     PauseTolerance tolerance = PauseTolerance::Sensitive;
@@ -100,6 +102,9 @@
 class ServiceBalancer
 {
 public:
+    /** Upstreams that a shared prompt prefers. */
+    static constexpr std::size_t kHomes = 4;
+
     /** Takes the upstreams that may get requests; what is known of those that stay is kept. */
     void setUpstreams(const std::vector<UpstreamEntry> &entries);
 
@@ -157,7 +162,6 @@
         std::size_t first = 0;
         std::size_t last = 0;
     };
-    static constexpr std::size_t kHomes = 4;
     /**
      * The upstreams that a shared prompt prefers, in an order that all nodes share. What finds the
      * first one full goes to the next, so that the prompt is read by as few as carry its requests.
@@ -170,13 +174,15 @@
     double enginesOfDialogues() const;
     Homes homesOf(const Demand &demand, Range range, TimePoint now) const;
     /** @return the part of a shared prompt that probably has to be read at @p state. */
-    static double rereadPart(const State &state, const Homes &homes);
+    static double rereadPart(std::size_t homeRank);
+    static std::size_t rankOf(const State &state, const Homes &homes);
     double costOf(const State &state, const Demand &demand, const Homes &homes,
                   TimePoint now) const;
 
     std::unordered_map<UpstreamId, State> m_states;
     std::unordered_map<std::uint64_t, UpstreamId> m_byHash;
     EnginePartition m_partition;
+    ReadingRate m_rate;
     NodeDemand m_demand;
     /** The usable ones in an order that all nodes share. */
     std::vector<UpstreamId> m_order;
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -36,6 +36,10 @@
 constexpr int kSoonPart = 4;
 // Part of its objective that a request is held at most; the rest is for its answer.
 constexpr int kHoldPart = 2;
+// Shared prompts from this size on take an engine as long to read as a dialogue takes in all.
+constexpr std::uint32_t kLargeShared = 2000;
+// Part of its objective that a request waits for an engine that keeps its shared prompt.
+constexpr int kHomeHoldPart = 4;
 constexpr std::string_view kEventStream = "text/event-stream";
 
 bool isSuccess(int status)
@@ -189,7 +193,13 @@
 bool Exchange::isRoomAt(const Placement &placement) const
 {
     const Duration ahead = std::max<Duration>(kLeastAhead, m_route->objective / kAheadPart);
-    return !placement.isFull && placement.wait <= ahead;
+    if (placement.isFull || placement.wait > ahead)
+        return false;
+    // A slot elsewhere is left for a while to those whose shared prompt is kept there.
+    const bool isElsewhere =
+            placement.homeRank == ServiceBalancer::kHomes && m_demand.sharedTokens > kLargeShared;
+    const Duration held = m_gateway.parts().loop.now() - m_arrived;
+    return !isElsewhere || held >= m_route->objective / kHomeHoldPart;
 }
 
 bool Exchange::isHopeless(const Placement &placement) const
@@ -636,6 +646,7 @@
               {"longest_pause_ms", toMillis(m_longestPause)},
               {"wait_estimate_ms", toMillis(m_placement.wait)},
               {"outside_range", m_placement.isOutside},
+              {"home_rank", m_placement.homeRank},
               {"prompt_tokens", m_meta.promptTokens},
               {"config_version", m_table ? m_table->config().version : 0},
               {"config_age_ms", age ? toMillis(*age) : -1}});
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -155,9 +155,12 @@
 
     Duration watchLength(TimePoint now) const
     {
+        constexpr Duration kShortest = milliseconds(200);
+        // After a lost call the store may still be silent, and a long watch would not notice.
+        if (m_failures > 0)
+            return std::min(kShortest, m_times.watch);
         if (!m_times.isAgeBounded)
             return m_times.watch;
-        constexpr Duration kShortest = milliseconds(200);
         return std::clamp(m_times.watch - (now - m_confirmedAt), kShortest, m_times.watch);
     }
 
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(emptyWatchConfirmsItsEnd);
     CPPUNIT_TEST(watchAfterChangeIsShort);
     CPPUNIT_TEST(lostAnswerIsAskedForAgain);
+    CPPUNIT_TEST(watchAfterLostCallIsShort);
     CPPUNIT_TEST(refusalsAreRepeatedSlowly);
     CPPUNIT_TEST(historyGoneReadsTheListAgain);
     CPPUNIT_TEST(suspendedNodeDoesNotConfirm);
@@ -148,6 +149,27 @@
         CPPUNIT_ASSERT_EQUAL(1, sink.returns);
     }
 
+    // Guards against a drained upstream that gets requests for seconds: a long watch that is made
+    // while the store is still silent is lost without a word.
+    void watchAfterLostCallIsShort()
+    {
+        times.watch = seconds(15);
+        times.isAgeBounded = false;
+        follower = std::make_unique<FeedFollower<int>>("test", feed, sink, loop, metrics, times, 1);
+        follower->start();
+        feed.answer(makeResult(10));
+        CPPUNIT_ASSERT(feed.wait == seconds(15));
+        follower->suspect();
+        const int before = feed.watches;
+        loop.advance(seconds(4));
+        // The store is silent for four seconds and then answers.
+        CPPUNIT_ASSERT(feed.watches >= before + 3);
+        CPPUNIT_ASSERT(feed.wait <= milliseconds(200));
+        feed.answer(makeResult(10));
+        loop.advance(times.gather);
+        CPPUNIT_ASSERT(feed.wait == seconds(15));
+    }
+
     // Guards against a rush of calls to a store that refuses them; each call is paid for.
     void refusalsAreRepeatedSlowly()
     {
