--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,21 @@
 matrix: build
 	@tools/matrix.sh $(BUILD)
 
+# Builds the program for the users' platform as deploy/system.toml does.
+.PHONY: platform
+platform: setup
+	@cmake -S . -B build/platform -G Ninja -DCMAKE_BUILD_TYPE=Release -DHAWTHORNSLIP_GATEWAY_ONLY=ON >&2
+	@cmake --build build/platform -j $(JOBS) --target hawthornslip >&2
+	@build/platform/hawthornslip gateway --help >/dev/null
+
+# Plays seeds of the soak of real processes.
+.PHONY: soak
+FIRST ?= $(SEED)
+LAST ?= $(FIRST)
+LENGTH ?= 14
+soak: build
+	@tools/soak.sh $(BUILD) $(FIRST) $(LAST) 3 --length $(LENGTH)
+
 format:
 	@tools/format.sh
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -180,6 +180,9 @@
 void Exchange::place()
 {
     const auto placement = m_lane->balancer.place(m_demand, m_tried, m_gateway.parts().loop.now());
+    // A refusal is logged with what it was decided from.
+    if (placement)
+        m_placement = *placement;
     if (!placement)
         fail(Reason::NoUpstream);
     else if (isRoomAt(*placement) || (isHopeless(*placement) && goesBeforeOthers()))
@@ -240,6 +243,8 @@
     if (placement && !isRoomAt(*placement) && !isHopeless(*placement))
         return HoldQueue::Offer::Kept;
     m_ticket = 0;
+    if (placement)
+        m_placement = *placement;
     if (!placement)
         fail(Reason::NoUpstream);
     else if (isRoomAt(*placement) || goesBeforeOthers())
--- a/tests/drivers/asio/loopback_test.cpp
+++ b/tests/drivers/asio/loopback_test.cpp
@@ -161,24 +161,24 @@
 public:
     void setUp() override
     {
-        sink = std::make_unique<TestSink>();
-        sink->answer = answerOk;
-        loop = std::make_unique<AsioEventLoop>();
-        server = std::make_unique<AsioHttpServer>(*loop, *sink, 100);
-        CPPUNIT_ASSERT(server->start({"127.0.0.1", 0}));
-        acceptor = std::make_unique<tcp::acceptor>(
-                loop->context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        client = std::make_unique<AsioUpstreamClient>(*loop, seconds(3));
+        m_sink = std::make_unique<TestSink>();
+        m_sink->answer = answerOk;
+        m_loop = std::make_unique<AsioEventLoop>();
+        m_server = std::make_unique<AsioHttpServer>(*m_loop, *m_sink, 100);
+        CPPUNIT_ASSERT(m_server->start({"127.0.0.1", 0}));
+        m_acceptor = std::make_unique<tcp::acceptor>(
+                m_loop->context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        m_client = std::make_unique<AsioUpstreamClient>(*m_loop, seconds(3));
     }
 
     void tearDown() override
     {
-        peers.clear();
-        client.reset();
-        acceptor.reset();
-        server.reset();
-        loop.reset();
-        sink.reset();
+        m_peers.clear();
+        m_client.reset();
+        m_acceptor.reset();
+        m_server.reset();
+        m_loop.reset();
+        m_sink.reset();
     }
 
     void servesManyRequestsOnOneConnection()
@@ -188,8 +188,8 @@
                 "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET /b?q=1 HTTP/1.1\r\n"
                 "Host: x\r\n\r\n");
         peer.expect("X-Path: /b");
-        CPPUNIT_ASSERT_EQUAL(std::string("abc"), sink->requests.at(0).body);
-        CPPUNIT_ASSERT_EQUAL(std::string("q=1"), sink->requests.at(1).query);
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), m_sink->requests.at(0).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("q=1"), m_sink->requests.at(1).query);
         CPPUNIT_ASSERT(!peer.closed);
     }
 
@@ -201,12 +201,12 @@
         peer.expect("abcde");
     }
 
-    // Guards against bytes that another server would read as a second request, and against memory
+    // Guards against bytes that another m_server would read as a second request, and against memory
     // that a caller may fill.
     void refusesBadInput()
     {
-        sink->callerBounds.maxBodyBytes = 100;
-        sink->callerBounds.maxHeaderBytes = 1000;
+        m_sink->callerBounds.maxBodyBytes = 100;
+        m_sink->callerBounds.maxHeaderBytes = 1000;
         const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
         const std::vector<std::pair<int, std::string>> cases = {
                 {400, "nonsense\r\n\r\n"},
@@ -224,14 +224,14 @@
             peer.send(bytes);
             peer.expect(fmt::format("HTTP/1.1 {}", status));
             peer.expectClosed();
-            CPPUNIT_ASSERT_EQUAL(status, sink->badInput.back());
+            CPPUNIT_ASSERT_EQUAL(status, m_sink->badInput.back());
         }
-        CPPUNIT_ASSERT(sink->requests.empty());
+        CPPUNIT_ASSERT(m_sink->requests.empty());
     }
 
     void refusesSlowHeader()
     {
-        sink->callerBounds.headerTimeout = milliseconds(50);
+        m_sink->callerBounds.headerTimeout = milliseconds(50);
         auto &peer = connectPeer();
         peer.send("GET / HTTP/1.1\r\nHo");
         peer.expect("HTTP/1.1 408");
@@ -241,21 +241,21 @@
     // Guards against upstream work for a caller that has left before the first byte.
     void noticesLeavingCaller()
     {
-        sink->answer = nullptr;
+        m_sink->answer = nullptr;
         auto &peer = connectPeer();
         peer.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-        runUntil(*loop, [this] { return !sink->requests.empty(); });
+        runUntil(*m_loop, [this] { return !m_sink->requests.empty(); });
         peer.socket.close();
-        runUntil(*loop, [this] { return sink->events->gone; });
+        runUntil(*m_loop, [this] { return m_sink->events->gone; });
     }
 
     void streamsInChunks()
     {
-        sink->answer = nullptr;
+        m_sink->answer = nullptr;
         auto &peer = connectPeer();
         peer.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-        runUntil(*loop, [this] { return !sink->writers.empty(); });
-        auto &writer = *sink->writers.at(0);
+        runUntil(*m_loop, [this] { return !m_sink->writers.empty(); });
+        auto &writer = *m_sink->writers.at(0);
         writer.begin(200, {}, std::nullopt);
         writer.write("first");
         peer.expect("5\r\nfirst\r\n");
@@ -267,18 +267,18 @@
     // Guards against an answer that goes to the next request of a connection.
     void lateWriteMeetsNoOtherRequest()
     {
-        sink->answer = nullptr;
+        m_sink->answer = nullptr;
         auto &peer = connectPeer();
         peer.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
-        runUntil(*loop, [this] { return sink->writers.size() == 1; });
-        answerOk(sink->requests.at(0), *sink->writers.at(0));
+        runUntil(*m_loop, [this] { return m_sink->writers.size() == 1; });
+        answerOk(m_sink->requests.at(0), *m_sink->writers.at(0));
         peer.expect("X-Path: /1");
         peer.send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
-        runUntil(*loop, [this] { return sink->writers.size() == 2; });
-        sink->writers.at(0)->begin(200, {{"X-Late", "1"}}, 0);
-        sink->writers.at(0)->end();
-        sink->writers.at(0)->abort();
-        answerOk(sink->requests.at(1), *sink->writers.at(1));
+        runUntil(*m_loop, [this] { return m_sink->writers.size() == 2; });
+        m_sink->writers.at(0)->begin(200, {{"X-Late", "1"}}, 0);
+        m_sink->writers.at(0)->end();
+        m_sink->writers.at(0)->abort();
+        answerOk(m_sink->requests.at(1), *m_sink->writers.at(1));
         peer.expect("X-Path: /2");
         CPPUNIT_ASSERT(peer.received.find("X-Late") == std::string::npos);
     }
@@ -288,15 +288,15 @@
         for (int i = 0; i < 3; ++i) {
             const auto handler = std::make_shared<RecordingHandler>();
             UpstreamRequest request;
-            request.url = fmt::format("http://127.0.0.1:{}/p{}", server->port(), i);
+            request.url = fmt::format("http://127.0.0.1:{}/p{}", m_server->port(), i);
             request.headers = {{"Host", "x"}};
             request.body = "body";
-            client->send(request, handler);
-            runUntil(*loop, [&] { return handler->ended; });
+            m_client->send(request, handler);
+            runUntil(*m_loop, [&] { return handler->ended; });
             CPPUNIT_ASSERT(handler->end.result == UpstreamResult::Complete);
             CPPUNIT_ASSERT_EQUAL(std::string("body"), handler->body);
         }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client->opened());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_client->opened());
     }
 
     // Guards against a crossed answer: an upstream that answers one request twice.
@@ -307,7 +307,7 @@
         peer.expect("\r\n\r\n");
         peer.send("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 3\r\n\r\nold"
                   "HTTP/1.1 200 OK\r\nid: 2\r\nContent-Length: 3\r\n\r\nnew");
-        runUntil(*loop, [&] { return handler->ended; });
+        runUntil(*m_loop, [&] { return handler->ended; });
         CPPUNIT_ASSERT_EQUAL(std::string("new"), handler->body);
         CPPUNIT_ASSERT(handler->end.result == UpstreamResult::Complete);
     }
@@ -330,7 +330,7 @@
             peer.expect("\r\n\r\n");
             peer.send(bytes);
             peer.socket.shutdown(tcp::socket::shutdown_send);
-            runUntil(*loop, [&] { return handler->ended; });
+            runUntil(*m_loop, [&] { return handler->ended; });
             CPPUNIT_ASSERT_MESSAGE(bytes, handler->end.result == result);
         }
     }
@@ -342,37 +342,37 @@
         auto &peer = acceptPeer();
         peer.expect("\r\n\r\n");
         peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        runUntil(*loop, [&] { return handler->ended; });
+        runUntil(*m_loop, [&] { return handler->ended; });
         handler = sendToPeer("2");
-        runUntil(*loop, [&] { return peer.received.find("id: 2") != std::string::npos; });
+        runUntil(*m_loop, [&] { return peer.received.find("id: 2") != std::string::npos; });
         peer.socket.close();
-        runUntil(*loop, [&] { return handler->ended; });
+        runUntil(*m_loop, [&] { return handler->ended; });
         CPPUNIT_ASSERT(handler->end.result == UpstreamResult::Broken);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client->opened());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_client->opened());
     }
 
     void clientTellsRefusedConnection()
     {
-        const auto port = acceptor->local_endpoint().port();
-        acceptor->close();
+        const auto port = m_acceptor->local_endpoint().port();
+        m_acceptor->close();
         const auto handler = std::make_shared<RecordingHandler>();
         UpstreamRequest request;
         request.url = fmt::format("http://127.0.0.1:{}/", port);
-        client->send(request, handler);
-        runUntil(*loop, [&] { return handler->ended; });
+        m_client->send(request, handler);
+        runUntil(*m_loop, [&] { return handler->ended; });
         CPPUNIT_ASSERT(handler->end.result == UpstreamResult::ConnectFailed);
     }
 
     void datagramsArrive()
     {
-        UdpPeerTransport first(*loop);
-        UdpPeerTransport second(*loop);
+        UdpPeerTransport first(*m_loop);
+        UdpPeerTransport second(*m_loop);
         CPPUNIT_ASSERT(first.start({"127.0.0.1", 0}));
         CPPUNIT_ASSERT(second.start({"127.0.0.1", 0}));
         std::string received;
         second.setReceiver([&received](const std::string &bytes) { received = bytes; });
         first.send(NodeId(fmt::format("127.0.0.1:{}", second.port())), "hello");
-        runUntil(*loop, [&] { return received == "hello"; });
+        runUntil(*m_loop, [&] { return received == "hello"; });
         // A message to a node without an address is dropped.
         first.send(NodeId("nowhere"), "hello");
     }
@@ -380,21 +380,21 @@
 private:
     RawPeer &connectPeer()
     {
-        peers.push_back(std::make_unique<RawPeer>(*loop));
-        peers.back()->connect(server->port());
-        return *peers.back();
+        m_peers.push_back(std::make_unique<RawPeer>(*m_loop));
+        m_peers.back()->connect(m_server->port());
+        return *m_peers.back();
     }
 
     RawPeer &acceptPeer()
     {
-        auto peer = std::make_unique<RawPeer>(*loop);
+        auto peer = std::make_unique<RawPeer>(*m_loop);
         bool accepted = false;
-        acceptor->async_accept(peer->socket,
-                               [&accepted](const boost::system::error_code &) { accepted = true; });
-        runUntil(*loop, [&accepted] { return accepted; });
+        m_acceptor->async_accept(
+                peer->socket, [&accepted](const boost::system::error_code &) { accepted = true; });
+        runUntil(*m_loop, [&accepted] { return accepted; });
         peer->accepted();
-        peers.push_back(std::move(peer));
-        return *peers.back();
+        m_peers.push_back(std::move(peer));
+        return *m_peers.back();
     }
 
     std::shared_ptr<RecordingHandler> sendToPeer(const std::string &id)
@@ -402,20 +402,20 @@
         auto handler = std::make_shared<RecordingHandler>();
         UpstreamRequest request;
         request.method = "GET";
-        request.url = fmt::format("http://127.0.0.1:{}/", acceptor->local_endpoint().port());
+        request.url = fmt::format("http://127.0.0.1:{}/", m_acceptor->local_endpoint().port());
         request.headers = {{"Host", "x"}, {"id", id}};
         request.tagHeader = "id";
         request.tag = id;
-        client->send(request, handler);
+        m_client->send(request, handler);
         return handler;
     }
 
-    std::unique_ptr<TestSink> sink;
-    std::unique_ptr<AsioEventLoop> loop;
-    std::unique_ptr<AsioHttpServer> server;
-    std::unique_ptr<tcp::acceptor> acceptor;
-    std::unique_ptr<AsioUpstreamClient> client;
-    std::vector<std::unique_ptr<RawPeer>> peers;
+    std::unique_ptr<TestSink> m_sink;
+    std::unique_ptr<AsioEventLoop> m_loop;
+    std::unique_ptr<AsioHttpServer> m_server;
+    std::unique_ptr<tcp::acceptor> m_acceptor;
+    std::unique_ptr<AsioUpstreamClient> m_client;
+    std::vector<std::unique_ptr<RawPeer>> m_peers;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AsioLoopbackTest);
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -122,20 +122,20 @@
 public:
     void setUp() override
     {
-        client.calls.clear();
-        fleet = std::make_unique<GatewayFleet>(1, client, makeConfig(), makeUpstreams());
+        m_client.calls.clear();
+        m_fleet = std::make_unique<GatewayFleet>(1, m_client, makeConfig(), makeUpstreams());
         // The budget of repeats grows with requests.
         for (int i = 0; i < 20; ++i) {
             call("/order/1");
-            client.calls.back()->answer(200, {{"proof", "1"}}, "ok");
+            m_client.calls.back()->answer(200, {{"proof", "1"}}, "ok");
         }
-        client.calls.clear();
+        m_client.calls.clear();
     }
 
     void relaysWholeAnswer()
     {
         const auto view = call("/order/1");
-        client.calls.at(0)->answer(201, {{"proof", "7"}, {"connection", "close"}}, "booked");
+        m_client.calls.at(0)->answer(201, {{"proof", "7"}, {"connection", "close"}}, "booked");
         CPPUNIT_ASSERT_EQUAL(201, view->status);
         CPPUNIT_ASSERT_EQUAL(std::string("booked"), view->body);
         CPPUNIT_ASSERT_EQUAL(std::string("7"), *findHeader(view->headers, "proof"));
@@ -152,7 +152,7 @@
                               {"x-hop", "1"},
                               {"x-kept", "2"},
                               {"left-ms", "3000"}});
-        const auto &sent = *client.calls.at(0);
+        const auto &sent = *m_client.calls.at(0);
         CPPUNIT_ASSERT_EQUAL(std::string("laundry"), sent.header("workspace"));
         CPPUNIT_ASSERT_EQUAL(std::string("3000"), sent.header("left-ms"));
         CPPUNIT_ASSERT(sent.header("expect") != "forged");
@@ -163,22 +163,22 @@
 
     void refusesUnknownKeyAndRoute()
     {
-        CPPUNIT_ASSERT_EQUAL(401, fleet->call(0, "/order/1", {{"key", "other"}})->status);
-        CPPUNIT_ASSERT_EQUAL(401, fleet->call(0, "/order/1", {})->status);
-        CPPUNIT_ASSERT_EQUAL(404, fleet->call(0, "/none/1", {{"key", "secret"}})->status);
-        CPPUNIT_ASSERT(client.calls.empty());
+        CPPUNIT_ASSERT_EQUAL(401, m_fleet->call(0, "/order/1", {{"key", "other"}})->status);
+        CPPUNIT_ASSERT_EQUAL(401, m_fleet->call(0, "/order/1", {})->status);
+        CPPUNIT_ASSERT_EQUAL(404, m_fleet->call(0, "/none/1", {{"key", "secret"}})->status);
+        CPPUNIT_ASSERT(m_client.calls.empty());
     }
 
     // Guards against a node that has just started and denies what the configuration allows.
     void answers503BeforeAnyConfiguration()
     {
-        Gateway fresh(GatewayParts{fleet->loop, fleet->dialect, client, fleet->metrics},
+        Gateway fresh(GatewayParts{m_fleet->loop, m_fleet->dialect, m_client, m_fleet->metrics},
                       GatewaySettings{}, 1);
         CPPUNIT_ASSERT(!fresh.isReady());
         auto view = std::make_shared<CallerView>();
         HttpRequest request;
         request.path = "/none/1";
-        fresh.onRequest(std::move(request), std::make_shared<ViewWriter>(fleet->loop, view));
+        fresh.onRequest(std::move(request), std::make_shared<ViewWriter>(m_fleet->loop, view));
         CPPUNIT_ASSERT_EQUAL(503, view->status);
     }
 
@@ -186,8 +186,8 @@
     void neverRepeatsAnOrderThatMayHaveRun()
     {
         const auto view = call("/order/1");
-        client.calls.at(0)->end(UpstreamResult::Broken);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.calls.size());
+        m_client.calls.at(0)->end(UpstreamResult::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_client.calls.size());
         CPPUNIT_ASSERT_EQUAL(502, view->status);
         CPPUNIT_ASSERT(view->body.find("may_have_run") != std::string::npos);
     }
@@ -195,11 +195,11 @@
     void repeatsAnOrderThatWasRefused()
     {
         const auto view = call("/order/1");
-        client.calls.at(0)->answer(503, {{"not-run", "1"}}, "");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, client.calls.size());
-        CPPUNIT_ASSERT(client.calls[0]->request.url != client.calls[1]->request.url);
-        client.calls[1]->answer(503, {{"not-run", "1"}}, "");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, client.calls.size());
+        m_client.calls.at(0)->answer(503, {{"not-run", "1"}}, "");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_client.calls.size());
+        CPPUNIT_ASSERT(m_client.calls[0]->request.url != m_client.calls[1]->request.url);
+        m_client.calls[1]->answer(503, {{"not-run", "1"}}, "");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_client.calls.size());
         CPPUNIT_ASSERT_EQUAL(503, view->status);
         CPPUNIT_ASSERT(view->body.find("not_run") != std::string::npos);
         CPPUNIT_ASSERT(findHeader(view->headers, "Retry-After") != nullptr);
@@ -208,12 +208,12 @@
     void repeatsReadAfterBreak()
     {
         const auto view = call("/read/1");
-        client.calls.at(0)->end(UpstreamResult::Broken);
-        client.calls.at(1)->answer(200, {{"proof", "1"}}, "status");
+        m_client.calls.at(0)->end(UpstreamResult::Broken);
+        m_client.calls.at(1)->answer(200, {{"proof", "1"}}, "status");
         CPPUNIT_ASSERT_EQUAL(200, view->status);
         const auto second = call("/read/1");
-        client.calls.at(2)->end(UpstreamResult::Broken);
-        client.calls.at(3)->answer(503, {{"not-run", "1"}}, "");
+        m_client.calls.at(2)->end(UpstreamResult::Broken);
+        m_client.calls.at(3)->answer(503, {{"not-run", "1"}}, "");
         // The first attempt may have run, so that the answer must not promise otherwise.
         CPPUNIT_ASSERT_EQUAL(502, second->status);
     }
@@ -222,7 +222,7 @@
     void unprovenSuccessIsNoAnswer()
     {
         const auto view = call("/order/1");
-        client.calls.at(0)->answer(200, {}, "garbage");
+        m_client.calls.at(0)->answer(200, {}, "garbage");
         CPPUNIT_ASSERT_EQUAL(502, view->status);
         CPPUNIT_ASSERT(view->body.find("garbage") == std::string::npos);
     }
@@ -231,11 +231,11 @@
     void streamResumesWithoutGapOrDouble()
     {
         const auto view = call("/draft/1");
-        auto &first = *client.calls.at(0);
+        auto &first = *m_client.calls.at(0);
         first.handler->onHeaders(200, kProvenStream);
         first.handler->onData("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
         first.end(UpstreamResult::Broken);
-        auto &second = *client.calls.at(1);
+        auto &second = *m_client.calls.at(1);
         CPPUNIT_ASSERT_EQUAL(std::string("2"), second.header("last-event"));
         second.answer(200, kProvenStream, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
         CPPUNIT_ASSERT(view->ended);
@@ -247,7 +247,7 @@
     void tornEventIsNotRelayed()
     {
         const auto view = call("/chat/1");
-        client.calls.at(0)->answer(200, kProvenStream, "id: 1\ndata: a\n\nid: 2\nda");
+        m_client.calls.at(0)->answer(200, kProvenStream, "id: 1\ndata: a\n\nid: 2\nda");
         CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), view->body);
         CPPUNIT_ASSERT(view->aborted);
         CPPUNIT_ASSERT(!view->ended);
@@ -256,11 +256,11 @@
     void chatThatBreaksIsAborted()
     {
         const auto view = call("/chat/1");
-        auto &first = *client.calls.at(0);
+        auto &first = *m_client.calls.at(0);
         first.handler->onHeaders(200, kProvenStream);
         first.handler->onData("id: 1\ndata: a\n\n");
         first.end(UpstreamResult::Broken);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.calls.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_client.calls.size());
         CPPUNIT_ASSERT(view->aborted);
     }
 
@@ -268,29 +268,29 @@
     void timeoutEndsEveryRequest()
     {
         const auto view = call("/order/1", {{"left-ms", "60000"}});
-        fleet->loop.advance(milliseconds(4900));
+        m_fleet->loop.advance(milliseconds(4900));
         CPPUNIT_ASSERT_EQUAL(0, view->status);
-        fleet->loop.advance(milliseconds(200));
+        m_fleet->loop.advance(milliseconds(200));
         CPPUNIT_ASSERT_EQUAL(504, view->status);
-        CPPUNIT_ASSERT(client.calls.at(0)->cancelled);
+        CPPUNIT_ASSERT(m_client.calls.at(0)->cancelled);
     }
 
     // Guards against work for a caller that has left.
     void leavingCallerEndsItsStream()
     {
         call("/chat/1");
-        fleet->leaveLast();
-        CPPUNIT_ASSERT(client.calls.at(0)->cancelled);
+        m_fleet->leaveLast();
+        CPPUNIT_ASSERT(m_client.calls.at(0)->cancelled);
     }
 
     // Guards against an order that is ended half done.
     void leavingCallerKeepsItsOrderRunning()
     {
         call("/order/1");
-        fleet->leaveLast();
-        CPPUNIT_ASSERT(!client.calls.at(0)->cancelled);
-        client.calls.at(0)->answer(200, {{"proof", "1"}}, "ok");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.calls.size());
+        m_fleet->leaveLast();
+        CPPUNIT_ASSERT(!m_client.calls.at(0)->cancelled);
+        m_client.calls.at(0)->answer(200, {{"proof", "1"}}, "ok");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_client.calls.size());
     }
 
     // Guards against repeats that add to the load of upstreams that fail.
@@ -298,12 +298,12 @@
     {
         int repeats = 0;
         for (int i = 0; i < 100; ++i) {
-            client.calls.clear();
+            m_client.calls.clear();
             call("/read/1");
-            client.calls.at(0)->end(UpstreamResult::Broken);
-            if (client.calls.size() > 1) {
+            m_client.calls.at(0)->end(UpstreamResult::Broken);
+            if (m_client.calls.size() > 1) {
                 ++repeats;
-                client.calls.at(1)->end(UpstreamResult::Broken);
+                m_client.calls.at(1)->end(UpstreamResult::Broken);
             }
         }
         // 120 requests in all, of which a fifth may be repeated.
@@ -316,11 +316,11 @@
     {
         headers.emplace_back("key", "secret");
         headers.emplace_back("id", "r1");
-        return fleet->call(0, target.substr(0, target.find('?')), std::move(headers));
+        return m_fleet->call(0, target.substr(0, target.find('?')), std::move(headers));
     }
 
-    ScriptedClient client;
-    std::unique_ptr<GatewayFleet> fleet;
+    ScriptedClient m_client;
+    std::unique_ptr<GatewayFleet> m_fleet;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExchangeTest);
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -85,13 +85,14 @@
 public:
     void setUp() override
     {
-        times.watch = seconds(3);
-        times.overdue = milliseconds(500);
-        times.isAgeBounded = true;
-        feed = {};
-        sink = {};
-        follower = std::make_unique<FeedFollower<int>>("test", feed, sink, loop, metrics, times, 1);
-        follower->start();
+        m_times.watch = seconds(3);
+        m_times.overdue = milliseconds(500);
+        m_times.isAgeBounded = true;
+        m_feed = {};
+        m_sink = {};
+        m_follower = std::make_unique<FeedFollower<int>>("test", m_feed, m_sink, m_loop, m_metrics,
+                                                         m_times, 1);
+        m_follower->start();
     }
 
     // Guards against changes that are missed between two pages of a list.
@@ -99,54 +100,54 @@
     {
         auto page = makeResult(10, 2);
         page.hasMore = true;
-        feed.answer(page);
-        CPPUNIT_ASSERT_EQUAL(std::string("1"), feed.listedAfter);
-        feed.answer(makeResult(15, 1));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sink.items);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, feed.revision);
+        m_feed.answer(page);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), m_feed.listedAfter);
+        m_feed.answer(makeResult(15, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_sink.items);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, m_feed.revision);
     }
 
     void emptyWatchConfirmsItsEnd()
     {
-        feed.answer(makeResult(10));
-        const TimePoint start = loop.now();
-        loop.advance(seconds(3) + milliseconds(5));
-        feed.answer(makeResult(10));
-        CPPUNIT_ASSERT(sink.confirmed == start + seconds(3));
+        m_feed.answer(makeResult(10));
+        const TimePoint start = m_loop.now();
+        m_loop.advance(seconds(3) + milliseconds(5));
+        m_feed.answer(makeResult(10));
+        CPPUNIT_ASSERT(m_sink.confirmed == start + seconds(3));
     }
 
     // Guards against keys that are distrusted on a calm day: a change late in a watch confirms only
     // its start, and a whole watch after it would take the age past the bound.
     void watchAfterChangeIsShort()
     {
-        feed.answer(makeResult(10));
-        const TimePoint start = loop.now();
-        loop.advance(milliseconds(2900));
-        feed.answer(makeResult(12, 1));
-        CPPUNIT_ASSERT_EQUAL(1, sink.changes);
-        CPPUNIT_ASSERT(sink.confirmed == start);
-        loop.advance(times.gather);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, feed.revision);
-        CPPUNIT_ASSERT(feed.wait <= milliseconds(200));
-        loop.advance(feed.wait);
-        feed.answer(makeResult(12));
-        CPPUNIT_ASSERT(loop.now() - sink.confirmed <= milliseconds(1));
-        CPPUNIT_ASSERT(feed.wait > seconds(2));
+        m_feed.answer(makeResult(10));
+        const TimePoint start = m_loop.now();
+        m_loop.advance(milliseconds(2900));
+        m_feed.answer(makeResult(12, 1));
+        CPPUNIT_ASSERT_EQUAL(1, m_sink.changes);
+        CPPUNIT_ASSERT(m_sink.confirmed == start);
+        m_loop.advance(m_times.gather);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, m_feed.revision);
+        CPPUNIT_ASSERT(m_feed.wait <= milliseconds(200));
+        m_loop.advance(m_feed.wait);
+        m_feed.answer(makeResult(12));
+        CPPUNIT_ASSERT(m_loop.now() - m_sink.confirmed <= milliseconds(1));
+        CPPUNIT_ASSERT(m_feed.wait > seconds(2));
     }
 
     // Guards against a connection that fell silent and keeps the node in the dark.
     void lostAnswerIsAskedForAgain()
     {
-        feed.answer(makeResult(10));
-        const auto late = feed.answer;
-        loop.advance(times.watch + times.overdue + times.firstPause);
-        CPPUNIT_ASSERT_EQUAL(2, feed.watches);
+        m_feed.answer(makeResult(10));
+        const auto late = m_feed.answer;
+        m_loop.advance(m_times.watch + m_times.overdue + m_times.firstPause);
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.watches);
         // A late answer to the call that was given up changes nothing.
         late(makeResult(99, 1));
-        CPPUNIT_ASSERT_EQUAL(0, sink.changes);
-        feed.answer(makeResult(11, 1));
-        CPPUNIT_ASSERT_EQUAL(1, sink.changes);
-        CPPUNIT_ASSERT_EQUAL(1, sink.returns);
+        CPPUNIT_ASSERT_EQUAL(0, m_sink.changes);
+        m_feed.answer(makeResult(11, 1));
+        CPPUNIT_ASSERT_EQUAL(1, m_sink.changes);
+        CPPUNIT_ASSERT_EQUAL(1, m_sink.returns);
     }
 
     // Guards against a drained upstream that gets requests for seconds: a long watch that is made
@@ -156,67 +157,67 @@
         FollowerTimes longTimes;
         longTimes.watch = seconds(15);
         ManualLoop ownLoop;
-        FeedFollower<int> calm("test", feed, sink, ownLoop, metrics, longTimes, 1);
+        FeedFollower<int> calm("test", m_feed, m_sink, ownLoop, m_metrics, longTimes, 1);
         calm.start();
-        feed.answer(makeResult(10));
-        CPPUNIT_ASSERT(feed.wait == seconds(15));
+        m_feed.answer(makeResult(10));
+        CPPUNIT_ASSERT(m_feed.wait == seconds(15));
         calm.suspect();
-        const int before = feed.watches;
+        const int before = m_feed.watches;
         ownLoop.advance(seconds(4));
         // The store is silent for four seconds and then answers.
-        CPPUNIT_ASSERT(feed.watches >= before + 3);
-        CPPUNIT_ASSERT(feed.wait <= milliseconds(200));
+        CPPUNIT_ASSERT(m_feed.watches >= before + 3);
+        CPPUNIT_ASSERT(m_feed.wait <= milliseconds(200));
         // The call that is open then was given up; the next one is answered.
-        const int lost = feed.watches;
-        while (feed.watches == lost)
+        const int lost = m_feed.watches;
+        while (m_feed.watches == lost)
             ownLoop.advance(milliseconds(10));
-        feed.answer(makeResult(10));
+        m_feed.answer(makeResult(10));
         ownLoop.advance(longTimes.gather);
-        CPPUNIT_ASSERT(feed.wait == seconds(15));
+        CPPUNIT_ASSERT(m_feed.wait == seconds(15));
     }
 
     // Guards against a rush of calls to a store that refuses them; each call is paid for.
     void refusalsAreRepeatedSlowly()
     {
-        feed.answer(makeError(FeedError::RateLimited));
-        const TimePoint start = loop.now();
-        while (loop.now() < start + seconds(10)) {
-            const int before = feed.lists;
-            loop.advance(milliseconds(10));
-            if (feed.lists != before)
-                feed.answer(makeError(FeedError::Unavailable));
+        m_feed.answer(makeError(FeedError::RateLimited));
+        const TimePoint start = m_loop.now();
+        while (m_loop.now() < start + seconds(10)) {
+            const int before = m_feed.lists;
+            m_loop.advance(milliseconds(10));
+            if (m_feed.lists != before)
+                m_feed.answer(makeError(FeedError::Unavailable));
         }
-        CPPUNIT_ASSERT(feed.lists <= 30);
-        CPPUNIT_ASSERT(feed.lists >= 10);
+        CPPUNIT_ASSERT(m_feed.lists <= 30);
+        CPPUNIT_ASSERT(m_feed.lists >= 10);
     }
 
     void historyGoneReadsTheListAgain()
     {
-        feed.answer(makeResult(10));
-        feed.answer(makeError(FeedError::HistoryGone));
-        CPPUNIT_ASSERT_EQUAL(2, feed.lists);
-        feed.answer(makeResult(40, 2));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, feed.revision);
-        CPPUNIT_ASSERT_EQUAL(0, sink.returns);
+        m_feed.answer(makeResult(10));
+        m_feed.answer(makeError(FeedError::HistoryGone));
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.lists);
+        m_feed.answer(makeResult(40, 2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, m_feed.revision);
+        CPPUNIT_ASSERT_EQUAL(0, m_sink.returns);
     }
 
     // Guards against a process that was paused, finds an old answer waiting, and takes it for news.
     void suspendedNodeDoesNotConfirm()
     {
-        feed.answer(makeResult(10));
-        const TimePoint start = loop.now();
-        loop.suspend(seconds(20));
-        feed.answer(makeResult(10));
-        CPPUNIT_ASSERT(sink.confirmed <= start + times.watch);
+        m_feed.answer(makeResult(10));
+        const TimePoint start = m_loop.now();
+        m_loop.suspend(seconds(20));
+        m_feed.answer(makeResult(10));
+        CPPUNIT_ASSERT(m_sink.confirmed <= start + m_times.watch);
     }
 
 private:
-    ManualLoop loop;
-    CountingMetrics metrics;
-    ScriptedFeed feed;
-    RecordingSink sink;
-    FollowerTimes times;
-    std::unique_ptr<FeedFollower<int>> follower;
+    ManualLoop m_loop;
+    CountingMetrics m_metrics;
+    ScriptedFeed m_feed;
+    RecordingSink m_sink;
+    FollowerTimes m_times;
+    std::unique_ptr<FeedFollower<int>> m_follower;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FeedFollowerTest);
@@ -235,10 +236,10 @@
     {
         RoutingConfig config;
         config.version = 4;
-        state.configSink().onList({{"main", false, config, ""}});
-        state.configSink().onChange({"main", true, std::nullopt, ""});
-        state.configSink().onChange({"main", false, std::nullopt, "half"});
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, state.config().table()->config().version);
+        m_state.configSink().onList({{"main", false, config, ""}});
+        m_state.configSink().onChange({"main", true, std::nullopt, ""});
+        m_state.configSink().onChange({"main", false, std::nullopt, "half"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, m_state.config().table()->config().version);
     }
 
     // Guards against requests for an upstream whose entry another writer has spoiled.
@@ -249,17 +250,17 @@
         entry.service = "models";
         UpstreamEntry other = entry;
         other.id = UpstreamId("b");
-        state.upstreamSink().onList({{"a", false, entry, ""}, {"b", false, other, ""}});
-        state.upstreamSink().onChange({"a", false, std::nullopt, "no address"});
-        const auto usable = state.upstreams().usable("models", loop.now());
+        m_state.upstreamSink().onList({{"a", false, entry, ""}, {"b", false, other, ""}});
+        m_state.upstreamSink().onChange({"a", false, std::nullopt, "no address"});
+        const auto usable = m_state.upstreams().usable("models", m_loop.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable.size());
         CPPUNIT_ASSERT_EQUAL(std::string("b"), usable[0].id.value);
     }
 
 private:
-    ManualLoop loop;
-    CountingMetrics metrics;
-    RouterState state{loop, metrics, KeyTrust{}, DirectoryTimes{}};
+    ManualLoop m_loop;
+    CountingMetrics m_metrics;
+    RouterState m_state{m_loop, m_metrics, KeyTrust{}, DirectoryTimes{}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouterStateTest);
