Strip exactly the headers that a caller's Connection header names

Cause: reading the diff: a header was dropped when its name stood anywhere in the Connection header, so that "Connection: x-host" took the Host away. Change: names are compared whole; Host and the request's id always go on. Test: tellsUpstreamWhoAsksAndHowLong.

--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -47,15 +47,18 @@
     return status >= kFirstSuccessStatus && status < kFirstRedirectStatus;
 }
 
-std::string lowerHeaderList(const HttpHeaders &headers)
-{
-    const auto *named = findHeader(headers, "connection");
-    if (named == nullptr)
-        return {};
-    std::string lower = *named;
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char it) { return it >= 'A' && it <= 'Z' ? it + 32 : it; });
-    return lower;
+/** @return the headers that the caller's Connection header names, in lower case. */
+std::vector<std::string> namedInConnection(const HttpHeaders &headers)
+{
+    std::vector<std::string> names(1);
+    const auto *list = findHeader(headers, "connection");
+    for (const unsigned char it : list == nullptr ? std::string() : *list) {
+        if (it == ',')
+            names.emplace_back();
+        else if (it != ' ' && it != '\t')
+            names.back() += static_cast<char>(it >= 'A' && it <= 'Z' ? it + 32 : it);
+    }
+    return names;
 }
 
 } // namespace
@@ -295,12 +298,14 @@
 HttpHeaders Exchange::forwardHeaders(const UpstreamEntry &upstream) const
 {
     const auto &dialect = m_gateway.parts().dialect;
-    const std::string named = lowerHeaderList(m_request.headers);
+    const auto named = namedInConnection(m_request.headers);
     HttpHeaders headers;
     headers.reserve(m_request.headers.size() + 4);
     for (const auto &it : m_request.headers) {
-        const bool ofConnection = isConnectionHeader(it.first) ||
-                                  (!named.empty() && named.find(it.first) != std::string::npos);
+        // The request's own id goes on whatever a caller says of it.
+        const bool isNamed = it.first != "host" && it.first != dialect.answerTagHeader() &&
+                             std::find(named.begin(), named.end(), it.first) != named.end();
+        const bool ofConnection = isConnectionHeader(it.first) || isNamed;
         if (!ofConnection && !dialect.isReserved(it.first))
             headers.push_back(it);
     }
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -148,7 +148,7 @@
     {
         call("/order/1?x=1", {{"workspace", "forged"},
                               {"expect", "forged"},
-                              {"connection", "x-hop"},
+                              {"connection", "X-Hop, id, x-kept-not"},
                               {"x-hop", "1"},
                               {"x-kept", "2"},
                               {"left-ms", "3000"}});
@@ -159,6 +159,7 @@
         CPPUNIT_ASSERT(sent.header("key").empty());
         CPPUNIT_ASSERT(sent.header("x-hop").empty());
         CPPUNIT_ASSERT_EQUAL(std::string("2"), sent.header("x-kept"));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), sent.header("id"));
     }
 
     void refusesUnknownKeyAndRoute()
