--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -5,7 +5,7 @@
     drivers/asio/*.cpp servers/state/*.cpp servers/gateway/*.cpp servers/peers/*.cpp platform/*.cpp)
 list(APPEND gateway_sources drivers/prometheus/prometheus_metrics.cpp drivers/toml/gateway_settings_reader.cpp
     drivers/toml/settings_keys.cpp drivers/toml/toml_document.cpp main/gateway_main.cpp main/gateway_process.cpp
-    main/commands/gateway_command.cpp main/commands/command.cpp main/version.cpp)
+    main/settings_watch.cpp     main/commands/gateway_command.cpp main/commands/command.cpp main/version.cpp)
 find_package(Protobuf REQUIRED)
 add_library(hawthornslip_proto STATIC proto/generated/gateway.pb.cc)
 target_include_directories(hawthornslip_proto SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/proto/generated)
--- a/core/gateway_settings.h
+++ b/core/gateway_settings.h
@@ -22,7 +22,6 @@
     /** Address `ip:port` of the platform's object store. */
     std::string storeAddress;
     std::uint32_t maxDescriptors = 1024;
-    std::uint32_t memoryMb = 256;
     /** Refuse keys that may have been revoked; false trusts the last known keys for ever. */
     bool failClosed = false;
     /** Time after which a revoked key must not be served. */
--- /dev/null
+++ b/core/http_status.h
@@ -0,0 +1,33 @@
+#pragma once
+
+namespace hawthornslip {
+
+inline constexpr int kBadGateway = 502;
+
+/** @return true for the statuses by which a request succeeded. */
+constexpr bool isSuccess(int status)
+{
+    constexpr int kFirst = 200;
+    constexpr int kAfterLast = 300;
+    return status >= kFirst && status < kAfterLast;
+}
+
+/** @return true for the statuses by which a server failed. */
+constexpr bool isServerFailure(int status)
+{
+    constexpr int kFirst = 500;
+    return status >= kFirst;
+}
+
+/** @return true for the statuses that promise that the request did not run and never will. */
+constexpr bool promisesNotRun(int status)
+{
+    constexpr int kRequestTimeout = 408;
+    constexpr int kMisdirected = 421;
+    constexpr int kTooMany = 429;
+    constexpr int kUnavailable = 503;
+    return status == kRequestTimeout || status == kMisdirected || status == kTooMany ||
+           status == kUnavailable;
+}
+
+} // namespace hawthornslip
--- a/core/interfaces/stream_server.h
+++ b/core/interfaces/stream_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/caller_limits.h"
 #include "core/interfaces/http_server.h"
 
 #include <cstddef>
@@ -50,15 +51,6 @@
     virtual void onDrained() = 0;
 };
 
-/** Bounds of what a caller may send, and how long it may take. */
-struct CallerBounds
-{
-    std::size_t maxHeaderBytes = 16 << 10;
-    std::size_t maxBodyBytes = 4 << 20;
-    Duration headerTimeout = seconds(3);
-    Duration idleTimeout = seconds(15);
-};
-
 /** Takes the requests of a listener; called on the loop's thread. */
 class RequestSink
 {
@@ -69,8 +61,8 @@
     virtual std::shared_ptr<CallerEvents> onRequest(HttpRequest request,
                                                     std::shared_ptr<AnswerWriter> writer) = 0;
 
-    /** @return the bounds in force. */
-    virtual CallerBounds bounds() const = 0;
+    /** @return the limits in force. */
+    virtual CallerLimits limits() const = 0;
 
     /** @return true when connections are to close after their answer. */
     virtual bool isStopping() const = 0;
--- a/core/settings.h
+++ b/core/settings.h
@@ -16,6 +16,8 @@
 {
     std::string ip = "127.0.0.1";
     std::uint16_t port = 0;
+
+    bool operator==(const ListenAddress &) const = default;
 };
 
 /** Certificate and key files of a TLS listener; TLS is off when both are empty. */
--- a/drivers/asio/http_message_parser.cpp
+++ b/drivers/asio/http_message_parser.cpp
@@ -1,5 +1,7 @@
 #include "drivers/asio/http_message_parser.h"
 
+#include "core/ascii.h"
+
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
@@ -17,10 +19,7 @@
 
 std::string lowerCase(boost::beast::string_view text)
 {
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char it) { return it >= 'A' && it <= 'Z' ? it + 32 : it; });
-    return lower;
+    return toLowerAscii({text.data(), text.size()});
 }
 
 } // namespace
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -90,7 +90,7 @@
 void ServerConnection::start(AsioHttpServer::Connections::iterator place)
 {
     m_place = place;
-    setDeadline(m_server.m_sink.bounds().idleTimeout);
+    setDeadline(m_server.m_sink.limits().idleTimeout);
     waitReadable();
 }
 
@@ -173,13 +173,13 @@
     while (!m_in.empty() && m_stage != Stage::Answering && m_stage != Stage::Closing &&
            m_stage != Stage::Closed) {
         if (!m_parser) {
-            const auto bounds = m_server.m_sink.bounds();
+            const auto limits = m_server.m_sink.limits();
             m_parser = std::make_unique<RequestParser>();
             m_parser->eager(true);
-            m_parser->header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
-            m_parser->body_limit(bounds.maxBodyBytes);
+            m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+            m_parser->body_limit(limits.maxBodyBytes);
             enter(Stage::ReadingHead);
-            setDeadline(bounds.headerTimeout);
+            setDeadline(limits.headerTimeout);
         }
         RequestParser::Error ec;
         const std::size_t n = m_parser->put(boost::asio::buffer(m_in), ec);
@@ -195,7 +195,7 @@
             return;
         }
         if (m_stage == Stage::ReadingBody && n > 0)
-            setDeadline(m_server.m_sink.bounds().idleTimeout);
+            setDeadline(m_server.m_sink.limits().idleTimeout);
         if (ec == http::error::need_more && n == 0)
             return;
     }
@@ -204,7 +204,7 @@
 void ServerConnection::onHeaderDone()
 {
     enter(Stage::ReadingBody);
-    setDeadline(m_server.m_sink.bounds().idleTimeout);
+    setDeadline(m_server.m_sink.limits().idleTimeout);
     if (m_parser->expectsContinue && !m_parser->is_done())
         send("HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -305,7 +305,7 @@
         return;
     }
     enter(Stage::Idle);
-    setDeadline(m_server.m_sink.bounds().idleTimeout);
+    setDeadline(m_server.m_sink.limits().idleTimeout);
     waitReadable();
     if (!m_in.empty()) {
         boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] {
--- a/drivers/http/curl_transfer.cpp
+++ b/drivers/http/curl_transfer.cpp
@@ -1,5 +1,7 @@
 #include "drivers/http/curl_transfer.h"
 
+#include "core/ascii.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -177,10 +179,8 @@
     const auto colon = line.find(':');
     if (colon == std::string_view::npos)
         return;
-    std::string name(line.substr(0, colon));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
-    m_headers.emplace_back(std::move(name), std::string(trimmed(line.substr(colon + 1))));
+    m_headers.emplace_back(toLowerAscii(line.substr(0, colon)),
+                           std::string(trimmed(line.substr(colon + 1))));
 }
 
 std::size_t CurlTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/ulfius_http_server.h"
 
+#include "core/ascii.h"
 #include "core/file_text.h"
 #include "core/logger.h"
 #include "drivers/http/connection_table.h"
@@ -33,13 +34,6 @@
     return text == nullptr ? std::string() : std::string(text);
 }
 
-std::string lowerCase(std::string text)
-{
-    for (auto &it : text)
-        it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
-    return text;
-}
-
 HttpRequest convert(const _u_request &from, std::size_t &headerBytes)
 {
     HttpRequest request;
@@ -52,7 +46,7 @@
         request.query = url.substr(mark + 1);
     const char **names = u_map_enum_keys(from.map_header);
     for (int i = 0; names != nullptr && names[i] != nullptr; ++i) {
-        request.headers.emplace_back(lowerCase(names[i]),
+        request.headers.emplace_back(toLowerAscii(names[i]),
                                      textOf(u_map_get(from.map_header, names[i])));
         headerBytes += request.headers.back().first.size() + request.headers.back().second.size();
     }
--- a/drivers/toml/gateway_settings_reader.cpp
+++ b/drivers/toml/gateway_settings_reader.cpp
@@ -1,6 +1,5 @@
 #include "drivers/toml/gateway_settings_reader.h"
 
-#include "core/file_text.h"
 #include "drivers/toml/schema_reader.h"
 
 namespace hawthornslip {
@@ -10,16 +9,11 @@
 using Keys = SettingsKeyFactory<GatewaySettings>;
 using Schema = std::vector<SettingsKey<GatewaySettings>>;
 
-std::string checkAddress(const std::string &text)
-{
-    ListenAddress unused;
-    return parseAddress(text, unused) ? "" : "must be an address of the form ip:port";
-}
-
 Schema makeSchema()
 {
     using S = GatewaySettings;
-    constexpr std::int64_t kLongestMs = 600'000;
+    constexpr std::int64_t kLongestSeconds = 600;
+    constexpr std::int64_t kLongestMs = 1000 * kLongestSeconds;
     Schema keys;
     const auto millis = [&keys](std::string_view section, std::string_view name, auto access) {
         keys.push_back({section, name, false, Keys::millisKey(access, 0, kLongestMs)});
@@ -47,9 +41,6 @@
     keys.push_back({"limits", "max_descriptors", false,
                     Keys::numberKey(
                             [](S & s) -> auto & { return s.maxDescriptors; }, 64, 1 << 20)});
-    keys.push_back({"limits", "memory_mb", false,
-                    Keys::numberKey(
-                            [](S & s) -> auto & { return s.memoryMb; }, 32, 1 << 20)});
     keys.push_back({"keys", "fail_closed", false,
                     Keys::flagKey([](S & s) -> auto & { return s.failClosed; })});
     millis(
@@ -59,10 +50,12 @@
     keys.push_back({"retries", "ratio", false,
                     Keys::realKey(
                             [](S & s) -> auto & { return s.repeatRatio; }, 0, 1)});
-    millis(
-            "retries", "window_ms", [](S & s) -> auto & { return s.repeatWindow; });
-    millis(
-            "stop", "grace_ms", [](S & s) -> auto & { return s.stopGrace; });
+    keys.push_back({"retries", "window_s", false,
+                    Keys::secondsKey(
+                            [](S & s) -> auto & { return s.repeatWindow; }, 1, kLongestSeconds)});
+    keys.push_back({"stop", "grace_s", false,
+                    Keys::secondsKey(
+                            [](S & s) -> auto & { return s.stopGrace; }, 0, kLongestSeconds)});
     return keys;
 }
 
@@ -81,14 +74,4 @@
     return result;
 }
 
-GatewaySettingsResult readGatewaySettings(const std::string &path)
-{
-    const auto text = readFileText(path);
-    if (text)
-        return parseGatewaySettings(*text);
-    GatewaySettingsResult result;
-    result.faults.push_back({"", 0, "the file cannot be read"});
-    return result;
-}
-
 } // namespace hawthornslip
--- a/drivers/toml/gateway_settings_reader.h
+++ b/drivers/toml/gateway_settings_reader.h
@@ -3,7 +3,6 @@
 #include "core/gateway_settings.h"
 #include "drivers/toml/settings_reader.h"
 
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,7 +18,4 @@
 /** Reads a gateway's settings from the text of a TOML file and reports all its faults at once. */
 GatewaySettingsResult parseGatewaySettings(std::string_view text);
 
-/** Reads the settings file @p path; a file that cannot be read is a fault. */
-GatewaySettingsResult readGatewaySettings(const std::string &path);
-
 } // namespace hawthornslip
--- a/drivers/toml/settings_keys.cpp
+++ b/drivers/toml/settings_keys.cpp
@@ -34,6 +34,21 @@
     return true;
 }
 
+std::optional<double> numberOf(const TomlValue &value)
+{
+    if (const auto *whole = std::get_if<std::int64_t>(&value.value))
+        return static_cast<double>(*whole);
+    if (const auto *real = std::get_if<double>(&value.value))
+        return *real;
+    return std::nullopt;
+}
+
+std::string checkAddress(const std::string &text)
+{
+    ListenAddress unused;
+    return parseAddress(text, unused) ? "" : "must be an address of the form ip:port";
+}
+
 std::string formatFault(const std::string &path, const SettingsFault &fault)
 {
     std::string text = path;
--- a/drivers/toml/settings_keys.h
+++ b/drivers/toml/settings_keys.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -18,6 +19,12 @@
 /** Parses `ip:port`. @return false when @p text is not an IPv4 number and a port. */
 bool parseAddress(std::string_view text, ListenAddress &address);
 
+/** @return what is wrong with an address of the form `ip:port`, or an empty text. */
+std::string checkAddress(const std::string &text);
+
+/** @return the number that @p value holds, whole or not, or nothing. */
+std::optional<double> numberOf(const TomlValue &value);
+
 /** One known key of a settings file whose values go into a @p Target. */
 template <typename Target>
 struct SettingsKey
@@ -54,9 +61,12 @@
     {
         return [=](const TomlValue &value, Target &settings) -> std::string {
             const auto *text = std::get_if<std::string>(&value.value);
-            if (text == nullptr || !parseAddress(*text, access(settings)))
-                return "must be an address of the form ip:port";
-            return {};
+            if (text == nullptr)
+                return "must be a string";
+            std::string fault = checkAddress(*text);
+            if (fault.empty())
+                parseAddress(*text, access(settings));
+            return fault;
         };
     }
 
@@ -77,15 +87,13 @@
     template <typename Access>
     static Store millisKey(Access access, std::int64_t lowest, std::int64_t highest)
     {
-        return [=](const TomlValue &value, Target &settings) -> std::string {
-            const auto *n = std::get_if<std::int64_t>(&value.value);
-            if (n == nullptr)
-                return "must be a whole number of milliseconds";
-            if (*n < lowest || *n > highest)
-                return fmt::format("must be between {} and {} ms", lowest, highest);
-            access(settings) = milliseconds(*n);
-            return {};
-        };
+        return timeKey(access, milliseconds(1), lowest, highest, "milliseconds");
+    }
+
+    template <typename Access>
+    static Store secondsKey(Access access, std::int64_t lowest, std::int64_t highest)
+    {
+        return timeKey(access, seconds(1), lowest, highest, "seconds");
     }
 
     template <typename Access, typename Check>
@@ -110,14 +118,12 @@
     static Store realKey(Access access, double lowest, double highest)
     {
         return [=](const TomlValue &value, Target &settings) -> std::string {
-            const auto *whole = std::get_if<std::int64_t>(&value.value);
-            const auto *real = std::get_if<double>(&value.value);
-            if (whole == nullptr && real == nullptr)
+            const auto n = numberOf(value);
+            if (!n)
                 return "must be a number";
-            const double n = real != nullptr ? *real : static_cast<double>(*whole);
-            if (!(n >= lowest && n <= highest))
+            if (!(*n >= lowest && *n <= highest))
                 return fmt::format("must be between {} and {}", lowest, highest);
-            access(settings) = n;
+            access(settings) = *n;
             return {};
         };
     }
@@ -133,6 +139,22 @@
             return {};
         };
     }
+
+private:
+    template <typename Access>
+    static Store timeKey(Access access, Duration unit, std::int64_t lowest, std::int64_t highest,
+                         std::string_view unitName)
+    {
+        return [=](const TomlValue &value, Target &settings) -> std::string {
+            const auto n = numberOf(value);
+            if (!n)
+                return fmt::format("must be a number of {}", unitName);
+            if (!(*n >= static_cast<double>(lowest) && *n <= static_cast<double>(highest)))
+                return fmt::format("must be between {} and {} {}", lowest, highest, unitName);
+            access(settings) = std::chrono::duration_cast<Duration>(*n * unit);
+            return {};
+        };
+    }
 };
 
 /** @return "must not be empty" for an empty text. */
--- a/drivers/toml/settings_schema.cpp
+++ b/drivers/toml/settings_schema.cpp
@@ -43,12 +43,6 @@
                                  kHashHexDigits);
 }
 
-std::string nodeAddress(const std::string &text)
-{
-    ListenAddress unused;
-    return parseAddress(text, unused) ? "" : "must be an address of the form ip:port";
-}
-
 Keys::Store policyKey()
 {
     return [](const TomlValue &value, Settings &settings) -> std::string {
@@ -139,7 +133,7 @@
                             [](Settings & s) -> auto & { return s.peer.allowedKeys; }, curveKey)});
     keys.push_back({"peer", "seeds", false,
                     Keys::listKey(
-                            [](Settings & s) -> auto & { return s.peer.seeds; }, nodeAddress)});
+                            [](Settings & s) -> auto & { return s.peer.seeds; }, checkAddress)});
 }
 
 void addPlatformKeys(std::vector<SettingsKey<Settings>> &keys)
--- a/main/commands/gateway_command.cpp
+++ b/main/commands/gateway_command.cpp
@@ -1,11 +1,11 @@
 #include "core/logger.h"
-#include "drivers/toml/gateway_settings_reader.h"
 #include "main/commands/command.h"
 #include "main/gateway_process.h"
 
 #include <fmt/format.h>
 
 #include <memory>
+#include <utility>
 
 namespace hawthornslip {
 
@@ -13,7 +13,8 @@
 
 ExitCode runGateway(const std::string &path, bool checkOnly)
 {
-    const auto read = readGatewaySettings(path);
+    SettingsWatch watch(path);
+    const auto read = watch.read();
     for (const auto &it : read.faults)
         fmt::print(stderr, "{}\n", formatFault(path, it));
     if (!read.faults.empty())
@@ -22,7 +23,7 @@
         return ExitCode::Success;
     setLogLevel(*valueOf(kLogLevelNames, read.settings.logLevel));
     setLogOutput(LogOutput::StandardOutput);
-    GatewayProcess process(read.settings, path);
+    GatewayProcess process(read.settings, std::move(watch));
     return process.run() ? ExitCode::Success : ExitCode::Refused;
 }
 
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -1,7 +1,6 @@
 #include "main/gateway_process.h"
 
 #include "core/logger.h"
-#include "drivers/toml/gateway_settings_reader.h"
 #include "platform/object_feed.h"
 
 #include <fmt/format.h>
@@ -23,6 +22,10 @@
 // Nodes come and go seldom, and a late entry costs only the news of its load.
 constexpr Duration kNodeWatch = seconds(20);
 constexpr Duration kTick = milliseconds(200);
+// The file has a kilobyte; a look at it costs about 20 us.
+constexpr Duration kSettingsPause = seconds(2);
+constexpr std::string_view kSignalTrigger = "signal";
+constexpr std::string_view kFileTrigger = "file";
 // Descriptors that stay free of callers' connections, for upstreams, store and files.
 constexpr std::uint32_t kReservedDescriptors = 300;
 
@@ -64,9 +67,9 @@
 
 } // namespace
 
-GatewayProcess::GatewayProcess(const GatewaySettings &settings, std::string settingsPath)
+GatewayProcess::GatewayProcess(const GatewaySettings &settings, SettingsWatch watch)
     : m_settings(settings)
-    , m_settingsPath(std::move(settingsPath))
+    , m_watch(std::move(watch))
     , m_client(m_loop, kPeerSilence)
     , m_storeClient(m_loop, kPeerSilence)
     , m_gateway(GatewayParts{m_loop, m_dialect, m_client, m_metrics}, settings, randomSeed())
@@ -149,22 +152,46 @@
 void GatewayProcess::onSignal(int number)
 {
     if (number == SIGHUP)
-        reload();
+        reload(kSignalTrigger);
     else
         beginStop(number);
 }
 
-void GatewayProcess::reload()
+void GatewayProcess::reload(std::string_view trigger)
 {
-    const auto read = readGatewaySettings(m_settingsPath);
-    for (const auto &it : read.faults)
+    m_settingsReadAt = m_loop.now();
+    const auto read = m_watch.poll();
+    if (!read) {
+        // The file is looked at often, so only an unneeded signal is worth a line.
+        if (trigger == kSignalTrigger)
+            logEvent(LogLevel::Info, "settings_unchanged", {{"file", m_watch.path()}});
+        return;
+    }
+    for (const auto &it : read->faults)
         logEvent(LogLevel::Warning, "settings_fault",
-                 {{"file", m_settingsPath}, {"key", it.key}, {"fault", it.message}});
-    if (!read.faults.empty())
+                 {{"file", m_watch.path()}, {"key", it.key}, {"fault", it.message}});
+    if (!read->faults.empty())
         return;
-    // Addresses and bounds stay as they were until the next start.
-    setLogLevel(*valueOf(kLogLevelNames, read.settings.logLevel));
-    logEvent(LogLevel::Info, "settings_reloaded", {{"file", m_settingsPath}});
+    const auto later = keysForNextStart(m_settings, read->settings);
+    apply(read->settings);
+    logEvent(LogLevel::Info, "settings_reloaded",
+             {{"file", m_watch.path()},
+              {"trigger", trigger},
+              {"after_restart", fmt::format("{}", fmt::join(later, ","))}});
+}
+
+void GatewayProcess::apply(const GatewaySettings &settings)
+{
+    setLogLevel(*valueOf(kLogLevelNames, settings.logLevel));
+    m_settings.stopGrace = settings.stopGrace;
+    m_gateway.applySettings(settings);
+    m_configFollower->setWatch(configTimes(settings).watch);
+}
+
+void GatewayProcess::watchSettings()
+{
+    if (m_loop.now() - m_settingsReadAt >= kSettingsPause)
+        reload(kFileTrigger);
 }
 
 void GatewayProcess::beginStop(int number)
@@ -197,6 +224,7 @@
 void GatewayProcess::tick()
 {
     checkStopped();
+    watchSettings();
     flushLog();
     m_loop.after(kTick, [this] { tick(); });
 }
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -7,6 +7,7 @@
 #include "drivers/asio/asio_upstream_client.h"
 #include "drivers/asio/udp_peer_transport.h"
 #include "drivers/prometheus/prometheus_metrics.h"
+#include "main/settings_watch.h"
 #include "main/status_sink.h"
 #include "platform/node_registry.h"
 #include "platform/wire_headers.h"
@@ -17,7 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <memory>
-#include <string>
+#include <string_view>
 
 namespace hawthornslip {
 
@@ -25,8 +26,8 @@
 class GatewayProcess
 {
 public:
-    /** @param settingsPath is read again at SIGHUP. */
-    GatewayProcess(const GatewaySettings &settings, std::string settingsPath);
+    /** @param watch tells when the file that @p settings came from has changed. */
+    GatewayProcess(const GatewaySettings &settings, SettingsWatch watch);
     ~GatewayProcess();
 
     /** Listens and serves until SIGTERM or SIGINT. @return false when an address is not free. */
@@ -36,13 +37,16 @@
     void startFollowers();
     void waitForSignal();
     void onSignal(int number);
-    void reload();
+    void reload(std::string_view trigger);
+    void apply(const GatewaySettings &settings);
+    void watchSettings();
     void beginStop(int number);
     void checkStopped();
     void tick();
 
     GatewaySettings m_settings;
-    std::string m_settingsPath;
+    SettingsWatch m_watch;
+    TimePoint m_settingsReadAt{};
     AsioEventLoop m_loop;
     PrometheusMetrics m_metrics;
     platform::WireHeaders m_dialect;
--- a/main/status_sink.h
+++ b/main/status_sink.h
@@ -29,7 +29,7 @@
         return nullptr;
     }
 
-    CallerBounds bounds() const override { return {}; }
+    CallerLimits limits() const override { return {}; }
     bool isStopping() const override { return false; }
     void onBadInput(int, std::string_view) override {}
 
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -17,8 +17,6 @@
 constexpr Duration kAvoidUnreachable = seconds(1);
 // What a running request adds to the choice, so that equal waits go to the emptier upstream.
 constexpr double kRunningSeconds = 0.001;
-// A request that finds all slots taken waits for one of many to end.
-constexpr double kFullSeconds = 1;
 // Part of an engine's slots that dialogues fill on average; the rest takes their swings.
 constexpr double kDialogueFill = 0.7;
 constexpr double kReservedSlots = 0.125;
@@ -45,6 +43,8 @@
             state = State{};
         state.entry = it;
         state.hash = rendezvousMember(it.id.value);
+        const auto peers = m_peers.find(state.hash);
+        state.peers = peers == m_peers.end() ? PeersRunning() : peers->second;
         state.usable = true;
         m_order.push_back(it.id);
     }
@@ -113,13 +113,8 @@
 {
     const double running = runningOf(state);
     double cost = toSeconds(state.prefill.wait(demand.level, now)) + kRunningSeconds * running;
-    if (running >= state.entry.slots)
-        cost += kFullSeconds * (1 + running - state.entry.slots);
-    if (demand.tolerance == PauseTolerance::Tolerant) {
-        const auto sensitive = static_cast<double>(state.sensitive) +
-                               static_cast<double>(std::max<std::int64_t>(0, state.peersSensitive));
-        cost += std::min(kMostDisturbed, kDisturbedSeconds * sensitive);
-    }
+    if (demand.tolerance == PauseTolerance::Tolerant)
+        cost += std::min(kMostDisturbed, kDisturbedSeconds * sensitiveOf(state));
     const double reread = kRereadWeight * rereadPart(rankOf(state, homes));
     return cost + reread * toSeconds(state.prefill.readTime(demand.sharedTokens));
 }
@@ -127,7 +122,13 @@
 double ServiceBalancer::runningOf(const State &state)
 {
     return static_cast<double>(state.running) +
-           static_cast<double>(std::max<std::int64_t>(0, state.peersRunning));
+           static_cast<double>(std::max<std::int64_t>(0, state.peers.running));
+}
+
+double ServiceBalancer::sensitiveOf(const State &state)
+{
+    return static_cast<double>(state.sensitive) +
+           static_cast<double>(std::max<std::int64_t>(0, state.peers.sensitive));
 }
 
 bool ServiceBalancer::isFullFor(const State &state, const Demand &demand)
@@ -157,9 +158,7 @@
     double needed = 0;
     for (const auto &id : m_order) {
         const State &state = m_states.at(id);
-        const auto sensitive = static_cast<double>(state.sensitive) +
-                               static_cast<double>(std::max<std::int64_t>(0, state.peersSensitive));
-        needed += sensitive / (kDialogueFill * std::max(1U, state.entry.slots));
+        needed += sensitiveOf(state) / (kDialogueFill * std::max(1U, state.entry.slots));
     }
     return needed;
 }
@@ -272,12 +271,17 @@
 
 void ServiceBalancer::onPeerLoad(const LoadChange &change, TimePoint now)
 {
+    PeersRunning &sum = m_peers[change.upstream];
+    sum.running += change.running;
+    sum.sensitive += change.sensitive;
+    const PeersRunning peers = sum;
+    if (peers.running == 0 && peers.sensitive == 0)
+        m_peers.erase(change.upstream);
     const auto it = m_byHash.find(change.upstream);
     if (it == m_byHash.end())
         return;
     auto &state = m_states.at(it->second);
-    state.peersRunning += change.running;
-    state.peersSensitive += change.sensitive;
+    state.peers = peers;
     for (std::size_t level = 0; level < kUrgencyLevels; ++level) {
         if (change.promptTokens[level] > 0)
             state.prefill.add(level, static_cast<double>(change.promptTokens[level]), now);
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -141,6 +141,12 @@
     std::size_t size() const { return m_order.size(); }
 
 private:
+    /** Requests of all peers at one upstream. */
+    struct PeersRunning
+    {
+        std::int64_t running = 0;
+        std::int64_t sensitive = 0;
+    };
     struct State
     {
         UpstreamEntry entry;
@@ -148,8 +154,7 @@
         std::uint64_t hash = 0;
         std::uint32_t running = 0;
         std::uint32_t sensitive = 0;
-        std::int64_t peersRunning = 0;
-        std::int64_t peersSensitive = 0;
+        PeersRunning peers;
         TokensByLevel<std::uint64_t> sentTokens{};
         bool isUsed = false;
         PrefillQueue prefill;
@@ -169,6 +174,7 @@
     using Homes = std::array<const State *, kHomes>;
 
     static double runningOf(const State &state);
+    static double sensitiveOf(const State &state);
     static bool isFullFor(const State &state, const Demand &demand);
     Range engineRange(const Demand &demand);
     double enginesOfDialogues() const;
@@ -181,6 +187,8 @@
 
     std::unordered_map<UpstreamId, State> m_states;
     std::unordered_map<std::uint64_t, UpstreamId> m_byHash;
+    /** Also for upstreams that this node does not know yet: peers tell changes only once. */
+    std::unordered_map<std::uint64_t, PeersRunning> m_peers;
     EnginePartition m_partition;
     ReadingRate m_rate;
     NodeDemand m_demand;
--- /dev/null
+++ b/modules/balancing/tests/engine_estimates_test.cpp
@@ -0,0 +1,94 @@
+#include "modules/balancing/engine_partition.h"
+#include "modules/balancing/prefill_queue.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr TimePoint kStart{seconds(1000)};
+
+} // namespace
+
+class EngineEstimatesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EngineEstimatesTest);
+    CPPUNIT_TEST(urgentPromptWaitsOnlyForThoseAsUrgent);
+    CPPUNIT_TEST(waitEndsAsThePromptsAreRead);
+    CPPUNIT_TEST(readingRateFollowsWhatWasMeasured);
+    CPPUNIT_TEST(enginesAreSharedByTokens);
+    CPPUNIT_TEST(boundaryStaysForSmallChanges);
+    CPPUNIT_TEST(dialoguesNeverTakeAllEngines);
+    CPPUNIT_TEST(kindWithoutRequestsGetsNoEngine);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an urgent request that is refused because of prompts that it overtakes.
+    void urgentPromptWaitsOnlyForThoseAsUrgent()
+    {
+        PrefillQueue queue;
+        queue.add(5, 50'000, kStart);
+        CPPUNIT_ASSERT(queue.wait(0, kStart) == Duration(0));
+        CPPUNIT_ASSERT(queue.wait(5, kStart) > seconds(1));
+    }
+
+    void waitEndsAsThePromptsAreRead()
+    {
+        PrefillQueue queue;
+        queue.add(0, 30'000, kStart);
+        const Duration wait = queue.wait(0, kStart);
+        CPPUNIT_ASSERT(queue.wait(0, kStart + wait / 2) < wait * 6 / 10);
+        CPPUNIT_ASSERT(queue.wait(0, kStart + wait) < milliseconds(1));
+    }
+
+    void readingRateFollowsWhatWasMeasured()
+    {
+        ReadingRate rate;
+        for (int i = 0; i < 200; ++i)
+            rate.observe(9'000, milliseconds(145));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(90'000, rate.tokensPerSecond(), 2'000);
+        // Short prompts tell of fixed times only.
+        for (int i = 0; i < 200; ++i)
+            rate.observe(100, seconds(1));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(90'000, rate.tokensPerSecond(), 2'000);
+    }
+
+    void enginesAreSharedByTokens()
+    {
+        EnginePartition partition;
+        partition.observe(PauseTolerance::Tolerant, 6'000, kStart);
+        partition.observe(PauseTolerance::Sensitive, 4'000, kStart);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, partition.tolerantEngines(20, 0));
+    }
+
+    // Guards against a boundary that moves all the time and leaves cached prompts behind.
+    void boundaryStaysForSmallChanges()
+    {
+        EnginePartition partition;
+        partition.observe(PauseTolerance::Tolerant, 6'000, kStart);
+        partition.observe(PauseTolerance::Sensitive, 4'000, kStart);
+        const auto before = partition.tolerantEngines(20, 0);
+        partition.observe(PauseTolerance::Sensitive, 300, kStart);
+        CPPUNIT_ASSERT_EQUAL(before, partition.tolerantEngines(20, 0));
+    }
+
+    void dialoguesNeverTakeAllEngines()
+    {
+        EnginePartition partition;
+        partition.observe(PauseTolerance::Tolerant, 5'000, kStart);
+        partition.observe(PauseTolerance::Sensitive, 5'000, kStart);
+        CPPUNIT_ASSERT(partition.tolerantEngines(10, 40) >= 3);
+    }
+
+    void kindWithoutRequestsGetsNoEngine()
+    {
+        EnginePartition partition;
+        partition.observe(PauseTolerance::Sensitive, 5'000, kStart);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, partition.tolerantEngines(10, 0));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineEstimatesTest);
+
+} // namespace hawthornslip
--- a/modules/freshness/config_belief.h
+++ b/modules/freshness/config_belief.h
@@ -27,6 +27,8 @@
 public:
     explicit ConfigBelief(KeyTrust trust);
 
+    void setTrust(KeyTrust trust) { m_trust = trust; }
+
     /**
      * Takes a version that the store holds.
      *
--- /dev/null
+++ b/modules/peers/tests/peer_list_test.cpp
@@ -0,0 +1,74 @@
+#include "modules/peers/peer_list.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr Duration kLong = seconds(600);
+
+} // namespace
+
+class PeerListTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerListTest);
+    CPPUNIT_TEST(oneNodeForgetsOneThatIsGone);
+    CPPUNIT_TEST(restartIsNoReason);
+    CPPUNIT_TEST(nodeThatIsCutOffForgetsNone);
+    CPPUNIT_TEST(listWithoutANodeDropsIt);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a list that grows with each VM that is replaced, and against all nodes that
+    // delete the same entry.
+    void oneNodeForgetsOneThatIsGone()
+    {
+        std::size_t times = 0;
+        for (const auto *self : {"a", "b", "c"}) {
+            PeerList list(self);
+            list.replaceAll({"a", "b", "c", "gone"}, kStart);
+            hearAll(list, {"a", "b", "c"}, kStart + kLong);
+            times += list.toForget(kStart + kLong).size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, times);
+    }
+
+    void restartIsNoReason()
+    {
+        PeerList list("a");
+        list.replaceAll({"a", "b"}, kStart);
+        CPPUNIT_ASSERT(list.toForget(kStart + seconds(60)).empty());
+    }
+
+    // Guards against a node without a network that empties the list that all nodes share.
+    void nodeThatIsCutOffForgetsNone()
+    {
+        PeerList list("a");
+        list.replaceAll({"a", "b", "c", "d"}, kStart);
+        CPPUNIT_ASSERT(list.toForget(kStart + kLong).empty());
+    }
+
+    void listWithoutANodeDropsIt()
+    {
+        PeerList list("a");
+        list.replaceAll({"a", "b", "c"}, kStart);
+        list.replaceAll({"a", "c"}, kStart);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
+        list.add("a", kStart);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
+    }
+
+private:
+    static constexpr TimePoint kStart{seconds(1000)};
+
+    static void hearAll(PeerList &list, const std::vector<std::string> &peers, TimePoint now)
+    {
+        for (const auto &it : peers)
+            list.onHeard(it, now);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerListTest);
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/queueing/tests/admission_test.cpp
@@ -0,0 +1,121 @@
+#include "modules/queueing/admission.h"
+#include "modules/queueing/return_advice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr CallerWait kFresh{seconds(1), Duration(0), Duration(0)};
+
+Placement waiting(Duration wait)
+{
+    Placement placement;
+    placement.wait = wait;
+    placement.read = milliseconds(50);
+    return placement;
+}
+
+Demand prompt()
+{
+    Demand demand;
+    demand.ownTokens = 800;
+    return demand;
+}
+
+} // namespace
+
+class AdmissionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AdmissionTest);
+    CPPUNIT_TEST(sendsWhatIsReadSoon);
+    CPPUNIT_TEST(holdsWhatCanStillBeInTime);
+    CPPUNIT_TEST(holdsForASlot);
+    CPPUNIT_TEST(refusesEarlyWhatCannotBeInTime);
+    CPPUNIT_TEST(doesNotHoldForMoreThanHalfOfTheObjective);
+    CPPUNIT_TEST(urgentRequestGoesBeforeLessUrgentOnes);
+    CPPUNIT_TEST(largeSharedPromptWaitsForItsHome);
+    CPPUNIT_TEST(returnsAreSpreadWithinWhatCallersKeep);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void sendsWhatIsReadSoon()
+    {
+        CPPUNIT_ASSERT(Admission::Send ==
+                       decideAdmission(prompt(), waiting(milliseconds(20)), kFresh, false));
+    }
+
+    // Guards against a queue inside the engine, where a request cannot be told to come back.
+    void holdsWhatCanStillBeInTime()
+    {
+        CPPUNIT_ASSERT(Admission::Hold ==
+                       decideAdmission(prompt(), waiting(milliseconds(400)), kFresh, false));
+    }
+
+    void holdsForASlot()
+    {
+        auto full = waiting(Duration(0));
+        full.isFull = true;
+        CPPUNIT_ASSERT(Admission::Hold == decideAdmission(prompt(), full, kFresh, false));
+    }
+
+    // Guards against callers that wait for an answer that comes too late, instead of trying again.
+    void refusesEarlyWhatCannotBeInTime()
+    {
+        CPPUNIT_ASSERT(Admission::Refuse ==
+                       decideAdmission(prompt(), waiting(seconds(2)), kFresh, false));
+        const CallerWait second{seconds(1), milliseconds(900), Duration(0)};
+        CPPUNIT_ASSERT(Admission::Refuse ==
+                       decideAdmission(prompt(), waiting(milliseconds(300)), second, false));
+    }
+
+    void doesNotHoldForMoreThanHalfOfTheObjective()
+    {
+        const CallerWait held{seconds(1), Duration(0), milliseconds(501)};
+        CPPUNIT_ASSERT(Admission::Refuse ==
+                       decideAdmission(prompt(), waiting(milliseconds(300)), held, false));
+    }
+
+    // Guards against urgent requests that are refused on an estimate while less urgent ones run.
+    void urgentRequestGoesBeforeLessUrgentOnes()
+    {
+        CPPUNIT_ASSERT(Admission::Send ==
+                       decideAdmission(prompt(), waiting(seconds(2)), kFresh, true));
+    }
+
+    // Guards against a shared prompt that is read once more at an engine that happens to be idle.
+    void largeSharedPromptWaitsForItsHome()
+    {
+        auto demand = prompt();
+        demand.sharedTokens = 5000;
+        auto elsewhere = waiting(Duration(0));
+        elsewhere.homeRank = ServiceBalancer::kHomes;
+        CPPUNIT_ASSERT(Admission::Hold == decideAdmission(demand, elsewhere, kFresh, false));
+        const CallerWait held{seconds(1), Duration(0), milliseconds(260)};
+        CPPUNIT_ASSERT(Admission::Send == decideAdmission(demand, elsewhere, held, false));
+    }
+
+    // Guards against a refused crowd that comes back at one moment, or that is told a time after
+    // which it does not come back.
+    void returnsAreSpreadWithinWhatCallersKeep()
+    {
+        std::mt19937_64 random(3);
+        const Duration left = seconds(12);
+        Duration first = left;
+        Duration last{0};
+        for (int i = 0; i < 500; ++i) {
+            const Duration advice = returnAfterRush(left, random);
+            first = std::min(first, advice);
+            last = std::max(last, advice);
+            CPPUNIT_ASSERT(returnElsewhere(left, random) <= seconds(1));
+        }
+        CPPUNIT_ASSERT(last <= left / 3);
+        CPPUNIT_ASSERT(last - first >= left / 6);
+        CPPUNIT_ASSERT(returnElsewhere(milliseconds(200), random) <= milliseconds(50));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
+
+} // namespace hawthornslip
--- a/modules/retry/window_budget.h
+++ b/modules/retry/window_budget.h
@@ -22,6 +22,9 @@
      */
     WindowBudget(double ratio, Duration window);
 
+    /** Changes the repeats allowed for each request; what was counted stays. */
+    void setRatio(double ratio) { m_ratio = ratio; }
+
     /** Counts a request that a caller sent. */
     void onRequest(TimePoint now);
 
--- a/modules/routing/route_table.cpp
+++ b/modules/routing/route_table.cpp
@@ -1,5 +1,7 @@
 #include "modules/routing/route_table.h"
 
+#include "core/ascii.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,10 +11,7 @@
 
 std::string hostName(std::string_view host)
 {
-    std::string name(host.substr(0, host.find(':')));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char it) { return it >= 'A' && it <= 'Z' ? it + 32 : it; });
-    return name;
+    return toLowerAscii(host.substr(0, host.find(':')));
 }
 
 } // namespace
--- a/modules/routing/routing_config.h
+++ b/modules/routing/routing_config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/caller_limits.h"
 #include "core/enum_names.h"
 #include "core/time.h"
 
@@ -80,15 +81,6 @@
     std::optional<EngineLimits> engine;
 };
 
-/** Bounds of what a caller may send, and how long it may take. */
-struct CallerLimits
-{
-    std::size_t maxHeaderBytes = 16 << 10;
-    std::size_t maxBodyBytes = 4 << 20;
-    Duration headerTimeout = seconds(3);
-    Duration idleTimeout = seconds(15);
-};
-
 /** A workspace with the keys of its callers. */
 struct KeyedWorkspace
 {
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -42,6 +42,9 @@
 public:
     explicit UpstreamDirectory(DirectoryTimes times);
 
+    /** Changes the times; they hold for entries that leave from now on. */
+    void setTimes(DirectoryTimes times) { m_times = times; }
+
     /** Takes the whole list; entries that it lacks count as removed. */
     void replaceAll(const std::vector<UpstreamEntry> &entries, TimePoint now);
 
--- /dev/null
+++ b/servers/gateway/forwarding.cpp
@@ -0,0 +1,66 @@
+#include "servers/gateway/forwarding.h"
+
+#include "core/ascii.h"
+
+#include <algorithm>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr Duration kConnectTimeout = milliseconds(400);
+
+/** @return the headers that the caller's Connection header names, in lower case. */
+std::vector<std::string> namedInConnection(const HttpHeaders &headers)
+{
+    std::vector<std::string> names(1);
+    const auto *list = findHeader(headers, "connection");
+    for (const char it : list == nullptr ? std::string() : *list) {
+        if (it == ',')
+            names.emplace_back();
+        else if (it != ' ' && it != '\t')
+            names.back() += toLowerAscii(it);
+    }
+    return names;
+}
+
+HttpHeaders forwardedHeaders(const HttpHeaders &from, const WireDialect &dialect)
+{
+    const auto named = namedInConnection(from);
+    HttpHeaders headers;
+    headers.reserve(from.size() + 4);
+    for (const auto &it : from) {
+        // The request's own id goes on whatever a caller says of it.
+        const bool isNamed = it.first != "host" && it.first != dialect.answerTagHeader() &&
+                             std::find(named.begin(), named.end(), it.first) != named.end();
+        if (!isNamed && !isConnectionHeader(it.first) && !dialect.isReserved(it.first))
+            headers.push_back(it);
+    }
+    return headers;
+}
+
+} // namespace
+
+UpstreamRequest makeUpstreamRequest(const HttpRequest &request, const UpstreamEntry &upstream,
+                                    ForwardMeta meta, const WireDialect &dialect,
+                                    const std::string &requestId)
+{
+    UpstreamRequest result;
+    result.method = request.method;
+    result.url = "http://" + upstream.address + request.path;
+    if (!request.query.empty())
+        result.url += "?" + request.query;
+    result.headers = forwardedHeaders(request.headers, dialect);
+    meta.expectedUpstream = upstream.id.value;
+    dialect.writeForward(meta, result.headers);
+    result.body = request.body;
+    result.connectTimeout = kConnectTimeout;
+    // The exchange ends the call when the caller's time is up.
+    result.totalTimeout = Duration(0);
+    result.sendOnce = true;
+    result.tagHeader = dialect.answerTagHeader();
+    result.tag = requestId;
+    return result;
+}
+
+} // namespace hawthornslip
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -7,6 +7,18 @@
 
 namespace {
 
+KeyTrust keyTrust(const GatewaySettings &settings)
+{
+    return {settings.failClosed, settings.revokeWithin};
+}
+
+DirectoryTimes directoryTimes(const GatewaySettings &settings)
+{
+    DirectoryTimes times;
+    times.drainWithin = settings.drainWithin;
+    return times;
+}
+
 // Lines a second for single requests. A line costs a few microseconds, so both together stay
 // within a thousandth of a small machine's share of a core.
 constexpr double kPlainLinesPerSecond = 20;
@@ -23,8 +35,7 @@
 Gateway::Gateway(GatewayParts parts, const GatewaySettings &settings, std::uint64_t seed)
     : m_parts(parts)
     , m_settings(settings)
-    , m_state(parts.loop, parts.metrics, KeyTrust{settings.failClosed, settings.revokeWithin},
-              DirectoryTimes{settings.drainWithin})
+    , m_state(parts.loop, parts.metrics, keyTrust(settings), directoryTimes(settings))
     , m_random(seed)
     , m_plainLines(kPlainLinesPerSecond, kLinesBurst, parts.loop.now())
     , m_failureLines(kFailureLinesPerSecond, kLinesBurst, parts.loop.now())
@@ -40,15 +51,10 @@
     return exchange;
 }
 
-CallerBounds Gateway::bounds() const
+CallerLimits Gateway::limits() const
 {
-    CallerBounds bounds;
-    if (const auto &table = m_state.config().table()) {
-        const auto &limits = table->config().limits;
-        bounds = {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout,
-                  limits.idleTimeout};
-    }
-    return bounds;
+    const auto &table = m_state.config().table();
+    return table ? table->config().limits : CallerLimits();
 }
 
 void Gateway::onBadInput(int status, std::string_view cause)
@@ -58,6 +64,14 @@
         logEvent(LogLevel::Warning, "bad_input", {{"status", status}, {"cause", cause}});
 }
 
+void Gateway::applySettings(const GatewaySettings &settings)
+{
+    m_settings = settings;
+    m_state.setBounds(keyTrust(settings), directoryTimes(settings));
+    for (auto &[name, lane] : m_lanes)
+        lane->repeats.setRatio(settings.repeatRatio);
+}
+
 bool Gateway::isReady() const
 {
     if (m_stopping || !m_state.isComplete())
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -40,7 +40,7 @@
 
     std::shared_ptr<CallerEvents> onRequest(HttpRequest request,
                                             std::shared_ptr<AnswerWriter> writer) override;
-    CallerBounds bounds() const override;
+    CallerLimits limits() const override;
     bool isStopping() const override { return m_stopping; }
     void onBadInput(int status, std::string_view cause) override;
 
@@ -50,6 +50,9 @@
     /** Turns the gateway unready; requests are still served. */
     void beginStop() { m_stopping = true; }
 
+    /** Takes the bounds of changed settings; addresses and the budget's window stay. */
+    void applySettings(const GatewaySettings &settings);
+
     RouterState &state() { return m_state; }
 
     void onPeerLoad(const LoadChange &change) override;
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -26,6 +26,7 @@
     , m_address(std::move(address))
     , m_collect(std::move(collect))
     , m_loads(sink)
+    , m_peers(m_address)
     , m_random(seed)
     , m_boot(m_random())
 {}
@@ -38,7 +39,7 @@
 
 void LoadExchange::onLoadChanged()
 {
-    if (!m_reportScheduled && !m_peers.empty())
+    if (!m_reportScheduled && m_peers.size() > 0)
         scheduleReport();
 }
 
@@ -68,8 +69,8 @@
     m_collect(report);
     report.loads = m_filter.select(report.loads);
     const std::string bytes = encodeReport(report);
-    for (const auto &it : m_peers)
-        m_parts.transport.send(NodeId(it), bytes);
+    for (const auto &[address, sign] : m_peers.signs())
+        m_parts.transport.send(NodeId(address), bytes);
     const auto sent = static_cast<double>(m_peers.size());
     m_parts.metrics.count(metric::kPeerMessages, {{"direction", "sent"}, {"kind", "load"}}, sent);
     m_parts.metrics.count(metric::kPeerBytes, {{"direction", "sent"}, {"kind", "load"}},
@@ -81,13 +82,16 @@
     const auto report = decodeReport(bytes);
     const std::string_view result = report ? "load" : "unreadable";
     m_parts.metrics.count(metric::kPeerMessages, {{"direction", "received"}, {"kind", result}});
-    if (report && report->node != m_address)
-        m_loads.onReport(*report, m_parts.loop.now());
+    if (!report || report->node == m_address)
+        return;
+    m_peers.onHeard(report->node, m_parts.loop.now());
+    m_loads.onReport(*report, m_parts.loop.now());
 }
 
 void LoadExchange::tick()
 {
     m_loads.expire(m_parts.loop.now());
+    forgetGone();
     if (m_parts.loop.now() - m_reportedAt >= kIdlePause && !m_reportScheduled)
         sendReport();
     m_parts.loop.after(kTick, [this] { tick(); });
@@ -95,15 +99,13 @@
 
 void LoadExchange::onList(const std::vector<FeedItem<NodeEntry>> &items)
 {
-    m_peers.clear();
-    bool listed = false;
+    std::vector<std::string> addresses;
     for (const auto &it : items) {
-        if (!it.value)
-            continue;
-        listed = listed || it.value->address == m_address;
-        if (it.value->address != m_address)
-            m_peers.insert(it.value->address);
+        if (it.value)
+            addresses.push_back(it.value->address);
     }
+    m_peers.replaceAll(addresses, m_parts.loop.now());
+    const bool listed = std::find(addresses.begin(), addresses.end(), m_address) != addresses.end();
     logEvent(LogLevel::Info, "peers_listed", {{"peers", m_peers.size()}, {"self", listed}});
     if (!listed)
         announce();
@@ -116,9 +118,18 @@
         if (item.removed)
             announce();
     } else if (item.removed) {
-        m_peers.erase(address);
+        m_peers.remove(address);
     } else {
-        m_peers.insert(address);
+        m_peers.add(address, m_parts.loop.now());
+    }
+}
+
+void LoadExchange::forgetGone()
+{
+    for (const auto &it : m_peers.toForget(m_parts.loop.now())) {
+        logEvent(LogLevel::Info, "node_forgotten", {{"address", it}});
+        m_peers.remove(it);
+        m_parts.registry.forget(it);
     }
 }
 
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -4,15 +4,14 @@
 #include "core/interfaces/metrics.h"
 #include "core/interfaces/node_registry.h"
 #include "core/interfaces/peer_transport.h"
+#include "modules/peers/peer_list.h"
 #include "modules/peers/peer_loads.h"
 #include "modules/peers/report_filter.h"
 #include "servers/state/feed_follower.h"
 
 #include <functional>
 #include <random>
-#include <set>
 #include <string>
-#include <unordered_map>
 
 namespace hawthornslip {
 
@@ -57,6 +56,7 @@
 
 private:
     void announce();
+    void forgetGone();
     void receive(const std::string &bytes);
     void sendReport();
     void scheduleReport();
@@ -68,7 +68,7 @@
     Collect m_collect;
     PeerLoads m_loads;
     ReportFilter m_filter;
-    std::set<std::string> m_peers;
+    PeerList m_peers;
     std::mt19937_64 m_random;
     std::uint64_t m_boot;
     std::uint64_t m_sequence = 0;
--- a/servers/request_path/upstream_message.cpp
+++ b/servers/request_path/upstream_message.cpp
@@ -1,5 +1,7 @@
 #include "servers/request_path/upstream_message.h"
 
+#include "core/ascii.h"
+
 #include <algorithm>
 #include <array>
 #include <string_view>
@@ -40,10 +42,7 @@
     const auto *connection = findHeader(headers, "connection");
     if (connection == nullptr)
         return false;
-    std::string lower = *connection;
-    for (auto &it : lower)
-        it = static_cast<char>(it >= 'A' && it <= 'Z' ? it - 'A' + 'a' : it);
-    return lower.find(name) != std::string::npos;
+    return toLowerAscii(*connection).find(name) != std::string::npos;
 }
 
 void copyHeaders(const HttpHeaders &from, HttpHeaders &to)
--- a/servers/security/key_hasher.cpp
+++ b/servers/security/key_hasher.cpp
@@ -1,5 +1,7 @@
 #include "servers/security/key_hasher.h"
 
+#include "core/ascii.h"
+
 #include <sodium.h>
 
 #include <array>
@@ -80,7 +82,7 @@
     if (headerValue.size() <= kScheme.size())
         return {};
     for (std::size_t i = 0; i < kScheme.size(); ++i) {
-        if (std::tolower(static_cast<unsigned char>(headerValue[i])) != kScheme[i])
+        if (toLowerAscii(headerValue[i]) != kScheme[i])
             return {};
     }
     headerValue.remove_prefix(kScheme.size());
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -94,6 +94,9 @@
     /** Sets what runs when a call is lost or refused after one that succeeded. */
     void onContactLost(EventLoop::Task task) { m_contactLost = std::move(task); }
 
+    /** Changes the length of watches that begin from now on. */
+    void setWatch(Duration length) { m_times.watch = length; }
+
     /** @return true while the last call succeeded. */
     bool isInContact() const { return m_failures == 0 && m_listed; }
 
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -9,6 +9,12 @@
     , m_upstreams(times)
 {}
 
+void RouterState::setBounds(KeyTrust trust, DirectoryTimes times)
+{
+    m_config.setTrust(trust);
+    m_upstreams.setTimes(times);
+}
+
 void RouterState::ConfigSink::onList(const std::vector<FeedItem<RoutingConfig>> &items)
 {
     for (const auto &it : items)
--- a/servers/state/router_state.h
+++ b/servers/state/router_state.h
@@ -19,6 +19,9 @@
     /** @return the sink for a follower of the upstreams' entries. */
     FollowerSink<UpstreamEntry> &upstreamSink() { return m_upstreamSink; }
 
+    /** Changes how long keys and entries are trusted. */
+    void setBounds(KeyTrust trust, DirectoryTimes times);
+
     const ConfigBelief &config() const { return m_config; }
     UpstreamDirectory &upstreams() { return m_upstreams; }
 
--- a/tests/drivers/asio/loopback_test.cpp
+++ b/tests/drivers/asio/loopback_test.cpp
@@ -34,7 +34,7 @@
         writers.push_back(std::move(writer));
         return events;
     }
-    CallerBounds bounds() const override { return callerBounds; }
+    CallerLimits limits() const override { return callerLimits; }
     bool isStopping() const override { return false; }
     void onBadInput(int status, std::string_view) override { badInput.push_back(status); }
 
@@ -50,7 +50,7 @@
     std::vector<int> badInput;
     std::shared_ptr<Events> events;
     std::function<void(const HttpRequest &, AnswerWriter &)> answer;
-    CallerBounds callerBounds;
+    CallerLimits callerLimits;
 };
 
 void answerOk(const HttpRequest &request, AnswerWriter &writer)
@@ -205,8 +205,8 @@
     // that a caller may fill.
     void refusesBadInput()
     {
-        m_sink->callerBounds.maxBodyBytes = 100;
-        m_sink->callerBounds.maxHeaderBytes = 1000;
+        m_sink->callerLimits.maxBodyBytes = 100;
+        m_sink->callerLimits.maxHeaderBytes = 1000;
         const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
         const std::vector<std::pair<int, std::string>> cases = {
                 {400, "nonsense\r\n\r\n"},
@@ -231,7 +231,7 @@
 
     void refusesSlowHeader()
     {
-        m_sink->callerBounds.headerTimeout = milliseconds(50);
+        m_sink->callerLimits.headerTimeout = milliseconds(50);
         auto &peer = connectPeer();
         peer.send("GET / HTTP/1.1\r\nHo");
         peer.expect("HTTP/1.1 408");
--- a/tests/drivers/gateway_settings_test.cpp
+++ b/tests/drivers/gateway_settings_test.cpp
@@ -21,7 +21,7 @@
 revoke_within_ms = 5000
 [retries]
 ratio = 0.2
-window_ms = 10000
+window_s = 10
 )";
 
 } // namespace
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(readsWholeFile);
     CPPUNIT_TEST(namesEachFault);
     CPPUNIT_TEST(refusesHalfAFile);
+    CPPUNIT_TEST(readsFractions);
+    CPPUNIT_TEST(refusesTimesOutOfRange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,11 +51,34 @@
     // Guards against a misspelt key that leaves a default in force without a word.
     void namesEachFault()
     {
-        const auto result = parseGatewaySettings(std::string(kWhole) +
-                                                 "[stop]\ngrace_m = 1\n[limits]\nmemory_mb = 1\n");
+        const auto result = parseGatewaySettings(
+                std::string(kWhole) + "[stop]\ngrace_m = 1\n[limits]\nmax_descriptors = 1\n");
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.faults.size());
-        CPPUNIT_ASSERT_EQUAL(std::string("limits.memory_mb"), result.faults[0].key);
-        CPPUNIT_ASSERT(result.faults[1].message.find("grace_ms") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("limits.max_descriptors"), result.faults[0].key);
+        CPPUNIT_ASSERT(result.faults[1].message.find("grace_s") != std::string::npos);
+    }
+
+    // Guards against a process that does not start because a bound is no whole number.
+    void readsFractions()
+    {
+        std::string text(kWhole);
+        text.replace(text.find("window_s = 10"), 13, "window_s = 7.5");
+        text.replace(text.find("= 5000"), 6, "= 4500.5");
+        const auto result = parseGatewaySettings(text + "[stop]\ngrace_s = 8.0\n");
+        CPPUNIT_ASSERT(result.faults.empty());
+        CPPUNIT_ASSERT(result.settings.repeatWindow == milliseconds(7500));
+        CPPUNIT_ASSERT(result.settings.revokeWithin == Duration(4'500'500));
+        CPPUNIT_ASSERT(result.settings.stopGrace == seconds(8));
+    }
+
+    void refusesTimesOutOfRange()
+    {
+        for (const auto *it : {"-1", "601.0", "nan", "\"8\"", "true"}) {
+            const auto result =
+                    parseGatewaySettings(std::string(kWhole) + "[stop]\ngrace_s = " + it + "\n");
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, result.faults.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("stop.grace_s"), result.faults.front().key);
+        }
     }
 
     // Guards against a process that starts from a file that was cut off while it was written.
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -38,7 +38,7 @@
 
     std::shared_ptr<CallerEvents> onRequest(HttpRequest request,
                                             std::shared_ptr<AnswerWriter> writer) override;
-    CallerBounds bounds() const override { return {}; }
+    CallerLimits limits() const override { return {}; }
     bool isStopping() const override { return false; }
     void onBadInput(int, std::string_view) override {}
 
--- a/tests/standins/http_host.cpp
+++ b/tests/standins/http_host.cpp
@@ -1,5 +1,7 @@
 #include "tests/standins/http_host.h"
 
+#include "core/ascii.h"
+
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -50,20 +52,13 @@
     delete static_cast<StreamState *>(data);
 }
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 std::map<std::string, std::string> toMap(const _u_map *map, bool lowerNames)
 {
     std::map<std::string, std::string> result;
     const char **keys = u_map_enum_keys(map);
     for (int i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
         const char *value = u_map_get(map, keys[i]);
-        result[lowerNames ? lowerCase(keys[i]) : keys[i]] = value == nullptr ? "" : value;
+        result[lowerNames ? toLowerAscii(keys[i]) : keys[i]] = value == nullptr ? "" : value;
     }
     return result;
 }
