Leave the search for a lost store to one follower, gather changes of upstreams longer

While the store is away each of the three followers of a node called about 17 times; each change of an upstream was fetched by itself.

Change: while the follower of the configuration fails, the others repeat their calls every 2.5 to 5 s and hurry when it succeeds. Changes of upstreams are gathered for a third of the drain bound instead of 0.3 s, those of nodes for 5 s instead of 1 s.

Ruled out: longer watches of the configuration, as keys are then distrusted when one answer is late; news of its age through peers, as a frozen node would take old news for new.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -19,8 +19,6 @@
 constexpr Duration kStopNotice = milliseconds(2500);
 // Left of the grace for the process to end by itself.
 constexpr Duration kStopMargin = milliseconds(600);
-// Nodes come and go seldom, and a late entry costs only the news of its load.
-constexpr Duration kNodeWatch = seconds(20);
 constexpr Duration kTick = milliseconds(200);
 // The file has a kilobyte; a look at it costs about 20 us.
 constexpr Duration kSettingsPause = seconds(2);
@@ -48,13 +46,23 @@
     return times;
 }
 
-FollowerTimes upstreamTimes()
+FollowerTimes upstreamTimes(const GatewaySettings &settings)
 {
     FollowerTimes times;
     // Changes come at once; the follower of the configuration notices a store that is lost.
     times.watch = seconds(15);
-    // A release replaces upstreams one after the other; drains allow two seconds.
-    times.gather = milliseconds(300);
+    // A release replaces upstreams one after the other. A third of the time that a drain allows is
+    // left for a slow answer, and one for a call that has to be made again.
+    times.gather = settings.drainWithin / 3;
+    return times;
+}
+
+FollowerTimes nodeTimes()
+{
+    FollowerTimes times;
+    // Nodes come and go seldom, and a late entry costs only the news of its load.
+    times.watch = seconds(20);
+    times.gather = seconds(5);
     return times;
 }
 
@@ -123,15 +131,22 @@
             configTimes(m_settings), randomSeed());
     m_upstreamFollower = std::make_unique<FeedFollower<UpstreamEntry>>(
             "upstreams", *m_upstreamFeed, m_gateway.state().upstreamSink(), m_loop, m_metrics,
-            upstreamTimes(), randomSeed());
-    // A watch that hears nothing for long cannot tell a quiet store from a lost one.
-    m_configFollower->onContactLost([this] { m_upstreamFollower->suspect(); });
+            upstreamTimes(m_settings), randomSeed());
     m_nodeFeed = platform::makeNodeFeed(m_storeClient, m_settings.storeAddress);
-    FollowerTimes nodeTimes;
-    nodeTimes.watch = kNodeWatch;
-    nodeTimes.gather = seconds(1);
     m_nodeFollower = std::make_unique<FeedFollower<NodeEntry>>(
-            "nodes", *m_nodeFeed, m_exchange, m_loop, m_metrics, nodeTimes, randomSeed());
+            "nodes", *m_nodeFeed, m_exchange, m_loop, m_metrics, nodeTimes(), randomSeed());
+    // A watch that hears nothing for long cannot tell a quiet store from a lost one.
+    m_configFollower->onContactLost([this] {
+        m_upstreamFollower->suspect();
+        m_nodeFollower->suspect();
+    });
+    m_configFollower->onContactRegained([this] {
+        m_upstreamFollower->hurry();
+        m_nodeFollower->hurry();
+    });
+    const auto isStoreLost = [this] { return m_configFollower->isFailing(); };
+    m_upstreamFollower->waitForAnother(isStoreLost);
+    m_nodeFollower->waitForAnother(isStoreLost);
     m_configFollower->start();
     m_upstreamFollower->start();
     m_nodeFollower->start();
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -94,15 +94,39 @@
     /** Sets what runs when a call is lost or refused after one that succeeded. */
     void onContactLost(EventLoop::Task task) { m_contactLost = std::move(task); }
 
+    /** Sets what runs when a call succeeds after others were lost or refused. */
+    void onContactRegained(EventLoop::Task task) { m_contactRegained = std::move(task); }
+
+    /**
+     * Leaves it to another follower of the same store to find out when the store answers again.
+     * While @p isStoreLost gives true, failed calls are repeated seldom; hurry() ends the pause.
+     */
+    void waitForAnother(std::function<bool()> isStoreLost)
+    {
+        m_isStoreLost = std::move(isStoreLost);
+    }
+
+    /** Repeats a failed call now instead of after its pause. */
+    void hurry()
+    {
+        if (m_retryTimer == 0)
+            return;
+        m_loop.cancel(std::exchange(m_retryTimer, 0));
+        std::exchange(m_retryTask, nullptr)();
+    }
+
     /** Changes the length of watches that begin from now on. */
     void setWatch(Duration length) { m_times.watch = length; }
 
-    /** @return true while the last call succeeded. */
-    bool isInContact() const { return m_failures == 0 && m_listed; }
+    /** @return true while calls are lost or refused. */
+    bool isFailing() const { return m_failures > 0; }
 
 private:
     using Result = FeedResult<Value>;
 
+    // Pause of calls whose outcome another follower finds out first.
+    static constexpr Duration kPauseOfOthers = seconds(5);
+
     void list()
     {
         m_items.clear();
@@ -233,19 +257,28 @@
                      {{"kind", m_kind}, {"failures", m_failures}});
             m_sink.onReturned();
         }
-        m_failures = 0;
+        const bool isRegained = std::exchange(m_failures, 0) > 0;
+        if (isRegained && m_contactRegained)
+            m_contactRegained();
     }
 
     void retry(EventLoop::Task task, FeedError error)
     {
         const auto doubled = m_times.firstPause * (1 << std::min(m_failures, 8U));
-        const Duration pause = std::min<Duration>(doubled, m_times.longestPause);
+        const bool isLeftToAnother = m_isStoreLost && m_isStoreLost();
+        const Duration pause = isLeftToAnother ? kPauseOfOthers
+                                               : std::min<Duration>(doubled, m_times.longestPause);
         std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2, pause.count());
         if (m_failures++ == 0 && m_contactLost)
             m_contactLost();
         // A list that broke off in the middle starts anew.
         const bool relist = error == FeedError::Malformed || !m_listed;
-        m_loop.after(Duration(spread(m_random)), relist ? [this] { list(); } : std::move(task));
+        m_retryTask = relist ? [this] { list(); } : std::move(task);
+        m_loop.cancel(m_retryTimer);
+        m_retryTimer = m_loop.after(Duration(spread(m_random)), [this] {
+            m_retryTimer = 0;
+            std::exchange(m_retryTask, nullptr)();
+        });
     }
 
     std::string m_kind;
@@ -257,6 +290,10 @@
     std::mt19937_64 m_random;
     std::uint64_t m_call = 0;
     EventLoop::Task m_contactLost;
+    EventLoop::Task m_contactRegained;
+    std::function<bool()> m_isStoreLost;
+    TimerId m_retryTimer = 0;
+    EventLoop::Task m_retryTask;
     TimerId m_overdueTimer = 0;
     bool m_listed = false;
     std::uint32_t m_failures = 0;
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -80,6 +80,8 @@
     CPPUNIT_TEST(refusalsAreRepeatedSlowly);
     CPPUNIT_TEST(historyGoneReadsTheListAgain);
     CPPUNIT_TEST(suspendedNodeDoesNotConfirm);
+    CPPUNIT_TEST(leavesTheSearchForTheStoreToAnother);
+    CPPUNIT_TEST(repeatsItsOwnFailuresWhileTheStoreAnswersAnother);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,6 +137,32 @@
         CPPUNIT_ASSERT(m_feed.wait > seconds(2));
     }
 
+    // Guards against three followers of each node that all call a store which does not answer.
+    void leavesTheSearchForTheStoreToAnother()
+    {
+        m_follower->waitForAnother([] { return true; });
+        m_feed.answer(makeResult(10));
+        m_follower->suspect();
+        m_loop.advance(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(1, m_feed.watches);
+        m_follower->hurry();
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.watches);
+        // The call was made once, not again after the pause.
+        m_loop.advance(milliseconds(50));
+        m_follower->hurry();
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.watches);
+    }
+
+    // Guards against upstreams that are not followed for long after one refused call.
+    void repeatsItsOwnFailuresWhileTheStoreAnswersAnother()
+    {
+        m_follower->waitForAnother([] { return false; });
+        m_feed.answer(makeResult(10));
+        m_feed.answer(makeError(FeedError::Unavailable));
+        m_loop.advance(m_times.firstPause);
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.watches);
+    }
+
     // Guards against a connection that fell silent and keeps the node in the dark.
     void lostAnswerIsAskedForAgain()
     {
