Break each promise on purpose and let the soak catch it; extra answers, lost store answers

Cause: the soak had never been shown to catch a broken promise, and a stream that ended early as if it were whole passed its check.

Stream ends are compared with the length that the worker gives. Workers send answers that nobody asked for; the store does calls and loses the answers.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -10,6 +10,8 @@
 
 // The first second of a window may lie in the one before it, for which its requests count.
 constexpr int kWindows = 2;
+constexpr std::size_t kShortestStream = 4;
+constexpr std::size_t kLongestStream = 24;
 
 std::string eventText(const std::string &id, std::size_t n)
 {
@@ -27,6 +29,11 @@
     return path.starts_with("/draft/") ? Kind::Draft : Kind::Order;
 }
 
+std::size_t streamLength(const std::string &id)
+{
+    return kShortestStream + std::hash<std::string>{}(id) % (kLongestStream - kShortestStream);
+}
+
 void Judge::onFault(std::size_t gateway, TimePoint until, bool planned)
 {
     auto &troubled = planned ? m_stoppedUntil : m_troubledUntil;
@@ -136,8 +143,9 @@
         rest.remove_prefix(expected.size());
         ++n;
     }
-    if (outcome.isWhole && n == 0)
-        report(fmt::format("stream {} ended without an event", outcome.id));
+    if (outcome.isWhole && n != streamLength(outcome.id))
+        report(fmt::format("stream {} ended as whole with {} of {} events", outcome.id, n,
+                           streamLength(outcome.id)));
 }
 
 void Judge::checkBudget(TimePoint now)
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -18,6 +18,9 @@
 /** @return the kind of a request to @p path. */
 Kind kindOf(const std::string &path);
 
+/** @return events of the stream that answers request @p id, at whichever upstream it goes on. */
+std::size_t streamLength(const std::string &id);
+
 /** Bounds that the promises hold within. */
 struct Bounds
 {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -199,13 +199,13 @@
 
 void SoakRun::planFaults()
 {
-    static constexpr std::array<Fault, 16> kFaults = {
-            &SoakRun::stopGateway,  &SoakRun::killGateway,   &SoakRun::pauseGateway,
-            &SoakRun::cutStore,     &SoakRun::delayStore,    &SoakRun::resetStore,
-            &SoakRun::refuseStore,  &SoakRun::forgetHistory, &SoakRun::crashWorker,
-            &SoakRun::drainWorker,  &SoakRun::failWorker,    &SoakRun::fillWorker,
-            &SoakRun::resetWorkers, &SoakRun::delayWorker,   &SoakRun::revokeKey,
-            &SoakRun::moveOrders};
+    static constexpr std::array<Fault, 18> kFaults = {
+            &SoakRun::stopGateway,  &SoakRun::killGateway,      &SoakRun::pauseGateway,
+            &SoakRun::cutStore,     &SoakRun::delayStore,       &SoakRun::resetStore,
+            &SoakRun::refuseStore,  &SoakRun::forgetHistory,    &SoakRun::crashWorker,
+            &SoakRun::drainWorker,  &SoakRun::failWorker,       &SoakRun::fillWorker,
+            &SoakRun::resetWorkers, &SoakRun::delayWorker,      &SoakRun::revokeKey,
+            &SoakRun::moveOrders,   &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers};
     // Some seeds play few kinds, so that the checks that need calm get their turn.
     const std::size_t kinds = 1 + pick(6);
     std::vector<Fault> chosen;
@@ -305,6 +305,14 @@
         m_store.silentUntil(m_loop.now() + length);
 }
 
+void SoakRun::loseStoreAnswers()
+{
+    const Duration length = between(seconds(1), seconds(5));
+    note("the store loses answers");
+    troubleAll(length);
+    m_store.loseAnswersUntil(m_loop.now() + length);
+}
+
 void SoakRun::forgetHistory()
 {
     note("the store forgets its history");
@@ -373,6 +381,15 @@
     worker->standin->fullUntil(m_loop.now() + between(seconds(1), seconds(5)));
 }
 
+void SoakRun::sendExtraAnswers()
+{
+    Worker *worker = pickWorker();
+    if (worker == nullptr)
+        return;
+    note(fmt::format("worker {} sends answers that nobody asked for", worker->standin->id()));
+    worker->standin->sendExtraUntil(m_loop.now() + between(seconds(1), seconds(5)));
+}
+
 void SoakRun::resetWorkers()
 {
     note("connections to workers are reset");
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -69,11 +69,13 @@
     void delayStore();
     void resetStore();
     void refuseStore();
+    void loseStoreAnswers();
     void forgetHistory();
     void crashWorker();
     void drainWorker();
     void failWorker();
     void fillWorker();
+    void sendExtraAnswers();
     void resetWorkers();
     void delayWorker();
     void revokeKey();
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -91,6 +91,11 @@
 
 void StoreStandin::answer(const std::shared_ptr<AnswerWriter> &writer, int status, const Json &body)
 {
+    constexpr std::uint64_t kLostOne = 3;
+    if (m_loop.now() < m_loseUntil && m_calls % kLostOne == 0) {
+        writer->abort();
+        return;
+    }
     const auto send = [writer, status, text = body.dump()] {
         writer->begin(status, {{"Content-Type", "application/json"}}, text.size());
         writer->write(text);
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -28,6 +28,8 @@
     /** Every call until @p until is refused with 503, or not answered at all. */
     void refuseUntil(TimePoint until) { m_refuseUntil = until; }
     void silentUntil(TimePoint until) { m_silentUntil = until; }
+    /** Every third call until @p until is done, but its connection is closed without an answer. */
+    void loseAnswersUntil(TimePoint until) { m_loseUntil = until; }
     /** Answers take this much longer. */
     void delayAnswers(Duration delay) { m_delay = delay; }
     /** Forgets the changes so far and cuts all watches. */
@@ -71,6 +73,7 @@
     std::uint64_t m_calls = 0;
     TimePoint m_refuseUntil{};
     TimePoint m_silentUntil{};
+    TimePoint m_loseUntil{};
     Duration m_delay{0};
 };
 
--- a/tests/soak/worker_standin.cpp
+++ b/tests/soak/worker_standin.cpp
@@ -12,8 +12,11 @@
 constexpr Duration kShortestWork = milliseconds(10);
 constexpr Duration kLongestWork = milliseconds(60);
 constexpr Duration kEventPause = milliseconds(15);
-constexpr std::size_t kShortestStream = 4;
-constexpr std::size_t kLongestStream = 24;
+
+// Goes on the connection after a whole answer, as if it answered the next request there.
+constexpr std::string_view kExtraAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                          "X-Hawthornslip-Attempt-Id: another\r\n"
+                                          "X-Hawthornslip-Response-Stamp: soak.extra\r\n\r\nextra";
 
 std::string headerOf(const HttpRequest &request, std::string_view name)
 {
@@ -21,12 +24,6 @@
     return value == nullptr ? "" : *value;
 }
 
-/** The same request has the same length wherever it goes on. */
-std::size_t streamLength(const std::string &id)
-{
-    return kShortestStream + std::hash<std::string>{}(id) % (kLongestStream - kShortestStream);
-}
-
 } // namespace
 
 /** One request that the worker works on. */
@@ -50,6 +47,8 @@
             const std::string body = fails ? "failed" : "done " + m_id;
             m_writer->begin(fails ? 500 : 200, headers("text/plain"), body.size());
             m_writer->write(body);
+            if (m_worker.m_loop.now() < m_worker.m_extraUntil && m_worker.draw(0.5))
+                m_writer->write(kExtraAnswer);
             m_writer->end();
         });
     }
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -29,6 +29,9 @@
     /** Refuses requests as if it were full until @p until. */
     void fullUntil(TimePoint until) { m_fullUntil = until; }
 
+    /** Sends a second answer that nobody asked for after half of the answers until @p until. */
+    void sendExtraUntil(TimePoint until) { m_extraUntil = until; }
+
     const std::string &id() const { return m_id; }
     const std::string &service() const { return m_service; }
 
@@ -54,6 +57,7 @@
     TimePoint m_failUntil{};
     double m_failShare = 0;
     TimePoint m_fullUntil{};
+    TimePoint m_extraUntil{};
 };
 
 } // namespace hawthornslip::soak
--- /dev/null
+++ b/tools/soak_mutations.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Breaks each promise on purpose in a copy of the sources and tells whether the soak catches it:
+# tools/soak_mutations.sh BUILD [SEEDS [JOBS]]. BUILD holds the soak; needs perl.
+# Prints a line a break; exit 1 when one was not caught.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=$(realpath "$1") seeds=${2:-24} jobs=${3:-6}
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+mkdir "$copy/build"
+[ ! -d build/prometheus ] || cp -r build/prometheus "$copy/build/"
+missed=0
+
+# Name of the promise, file, expression that breaks it, words of the report that catches it.
+try() {
+    local name=$1 file=$2 expression=$3 words=$4
+    tar -cf - --exclude=./build --exclude=./target --exclude=./journal --exclude=./.git . |
+        tar -C "$copy" -xf - --skip-old-files
+    cp "$file" "$copy/$file"
+    perl -0pi -e "$expression" "$copy/$file"
+    if cmp -s "$file" "$copy/$file"; then
+        echo "$name: the expression changes nothing in $file"
+        missed=1
+        return
+    fi
+    cmake -S "$copy" -B "$copy/build/gw" -G Ninja -DHAWTHORNSLIP_GATEWAY_ONLY=ON >/dev/null
+    cmake --build "$copy/build/gw" --target hawthornslip -j "$jobs" >/dev/null
+    mkdir -p "$copy/mutant"
+    cp "$build/soak" "$copy/build/gw/hawthornslip" "$copy/mutant/"
+    local found
+    found=$(tools/soak.sh "$copy/mutant" 1 "$seeds" "$jobs" --length 8 2>/dev/null | grep -c "$words" || true)
+    cp "$file" "$copy/$file"
+    echo "$name: $found reports"
+    [ "$found" -gt 0 ] || missed=1
+}
+
+try "an order runs once" servers/gateway/exchange.cpp \
+    's/const bool mayRepeat =.*?;/const bool mayRepeat = true;/s' 'order .* ran'
+try "a refusal did not run" servers/gateway/exchange.cpp \
+    's/if \(promisesNotRun\(status\) && execution.*?;/if (execution != Execution::NotRun)\n status = 503;/s' \
+    'was refused with 503 and ran'
+try "an answer belongs to its request" drivers/asio/upstream_connection.cpp \
+    's/return tag != nullptr && \*tag != m_request.tag;/return false;/' 'got the answer'
+try "a stream has no gap and no repetition" servers/gateway/answer_relay.cpp \
+    's/if \(event.id && m_lastEvent && .event.id <= .m_lastEvent\)/if (false)/;' 'goes on after event'
+try "an incomplete stream does not look whole" servers/gateway/exchange.cpp \
+    's/end.result == UpstreamResult::Complete\)\n        onWholeAnswer/end.result != UpstreamResult::ConnectFailed)\n        onWholeAnswer/' \
+    'ended as whole'
+try "a drained upstream gets nothing" modules/upstreams/upstream_directory.cpp \
+    's/entry.draining \|\| known.leaving/known.leaving/' 'after it drained'
+try "a revoked key is not served" modules/freshness/config_belief.cpp \
+    's/return old && .old < m_trust.revokeWithin - kWatchLag;/return old.has_value();/' 'key was revoked'
+try "a change takes effect" modules/freshness/config_belief.cpp \
+    's/if \(m_table && config.version <=/if (m_table \|\| config.version <=/' 'after the move'
+try "repeats stay in their budget" servers/gateway/exchange.cpp \
+    's/if \(m_sent > 0 && !m_lane->repeats.tryTake\(now\)\)/if (false)/' 'repeats in a window'
+try "a stop cuts nothing off" main/gateway_process.cpp \
+    's/if \(since < kStopNotice\)\n        return;/m_loop.stop();\n    return;/' 'was cut off'
+exit "$missed"
