Let a late request take a free slot away from the home of its prompt

Cause: a request that came back after a refusal is too late to be held, so the wait for the home of its shared prompt refused it again although slots were free elsewhere.

Change: while slots are not scarce such a request takes the slot; scarce slots are left to those that can be in time.

Ruled out: holding late requests after all others.

AdmissionTest::lateRequestTakesAFreeSlotElsewhere fails before and passes after.

--- a/modules/queueing/admission.cpp
+++ b/modules/queueing/admission.cpp
@@ -15,6 +15,7 @@
 constexpr int kHoldPart = 2;
 // Shared prompts from this size on take an engine as long to read as a dialogue takes in all.
 constexpr std::uint32_t kLargeShared = 2000;
+// Part of its objective that a request waits for an engine that keeps its shared prompt.
 constexpr double kHomeHold = 0.25;
 // The same while slots are scarce: all of them find a request soon, and those that find one whose
 // prompt is kept serve more. It ends before the request is held for too long.
@@ -22,14 +23,22 @@
 // Part of the engines without a slot from which on slots are scarce.
 constexpr double kScarce = 0.5;
 
-/** @return how long a request with a large shared prompt waits before it goes to that placement. */
-Duration homePatience(const Placement &placement, Duration objective)
+bool areSlotsScarce(const Placement &placement)
 {
+    return placement.fullPart > kScarce;
+}
+
+/** @return how long a request waits for a home of its shared prompt before it takes the placement.
+ */
+Duration homePatience(const Demand &demand, const Placement &placement, Duration objective)
+{
+    if (demand.sharedTokens < kLargeShared)
+        return Duration(0);
     const double away =
             static_cast<double>(placement.homeRank) / static_cast<double>(ServiceBalancer::kHomes);
     const bool isHome = placement.homeRank < ServiceBalancer::kHomes;
     double part = isHome ? 0 : kHomeHold;
-    if (placement.fullPart > kScarce)
+    if (areSlotsScarce(placement))
         part = kScarceHomeHold * away;
     return std::chrono::duration_cast<Duration>(part * objective);
 }
@@ -39,11 +48,7 @@
     const Duration ahead = demand.tolerance == PauseTolerance::Tolerant
                                    ? std::max<Duration>(kLeastAhead, wait.objective / kAheadPart)
                                    : kLeastAhead;
-    if (placement.isFull || placement.wait > ahead)
-        return false;
-    // A slot elsewhere is left for a while to those whose shared prompt is kept there.
-    return demand.sharedTokens < kLargeShared ||
-           wait.held >= homePatience(placement, wait.objective);
+    return !placement.isFull && placement.wait <= ahead;
 }
 
 bool isTooLate(const Placement &placement, const CallerWait &wait)
@@ -58,10 +63,15 @@
 Admission decideAdmission(const Demand &demand, const Placement &placement, const CallerWait &wait,
                           bool lessUrgentSent)
 {
-    if (hasRoom(demand, placement, wait))
+    const bool hasPlace = hasRoom(demand, placement, wait);
+    // A slot elsewhere is left for a while to those whose shared prompt is kept there.
+    if (hasPlace && wait.held >= homePatience(demand, placement, wait.objective))
         return Admission::Send;
     if (!isTooLate(placement, wait))
         return Admission::Hold;
+    // It cannot wait for its home.
+    if (hasPlace && !areSlotsScarce(placement))
+        return Admission::Send;
     // While less urgent requests are let in, this one is not refused on an estimate: it goes first
     // at the engine, and the estimate then keeps the others out.
     const bool goesFirst = demand.ownTokens > 0 && wait.before < wait.objective && lessUrgentSent;
--- a/modules/queueing/tests/admission_test.cpp
+++ b/modules/queueing/tests/admission_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(urgentRequestGoesBeforeLessUrgentOnes);
     CPPUNIT_TEST(largeSharedPromptWaitsForItsHome);
     CPPUNIT_TEST(waitsLongerForItsHomeWhileSlotsAreScarce);
+    CPPUNIT_TEST(lateRequestTakesAFreeSlotElsewhere);
     CPPUNIT_TEST(dialoguesEnginesGetShortQueues);
     CPPUNIT_TEST(returnsAreSpreadWithinWhatCallersKeep);
     CPPUNIT_TEST_SUITE_END();
@@ -116,6 +117,21 @@
         CPPUNIT_ASSERT(Admission::Send == decideAdmission(demand, away, longer, false));
     }
 
+    // Guards against a caller that comes back after a refusal and is refused again, as its request
+    // is too late to wait for its home, while there are slots enough elsewhere.
+    void lateRequestTakesAFreeSlotElsewhere()
+    {
+        auto demand = prompt();
+        demand.sharedTokens = 5000;
+        auto away = waiting(Duration(0));
+        away.homeRank = ServiceBalancer::kHomes;
+        const CallerWait late{seconds(1), seconds(2), Duration(0)};
+        CPPUNIT_ASSERT(Admission::Send == decideAdmission(demand, away, late, false));
+        // While slots are scarce they are left to those that can be in time.
+        away.fullPart = 0.9;
+        CPPUNIT_ASSERT(Admission::Refuse == decideAdmission(demand, away, late, false));
+    }
+
     // Guards against prompts in a row that make the dialogues on the same engine pause.
     void dialoguesEnginesGetShortQueues()
     {
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -495,6 +495,8 @@
               {"wait_estimate_ms", toMillis(m_placement.wait)},
               {"outside_range", m_placement.isOutside},
               {"home_rank", m_placement.homeRank},
+              {"full_part", m_placement.fullPart},
+              {"copy_from", m_placement.promptSource},
               {"prompt_tokens", m_meta.promptTokens},
               {"config_version", m_table ? m_table->config().version : 0},
               {"config_age_ms", age ? toMillis(*age) : -1}});
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(tellsUpstreamWhoAsksAndHowLong);
     CPPUNIT_TEST(refusesUnknownKeyAndRoute);
     CPPUNIT_TEST(answers503BeforeAnyConfiguration);
+    CPPUNIT_TEST(refusesWhatComesTooLateBeforeAStop);
     CPPUNIT_TEST(neverRepeatsAnOrderThatMayHaveRun);
     CPPUNIT_TEST(repeatsAnOrderThatWasRefused);
     CPPUNIT_TEST(repeatsReadAfterBreak);
@@ -170,6 +171,25 @@
         CPPUNIT_ASSERT(m_client.calls.empty());
     }
 
+    // Guards against a request on a kept connection that is taken when the process is about to end,
+    // and is then cut off. Requests taken before, and those that run, are served.
+    void refusesWhatComesTooLateBeforeAStop()
+    {
+        const auto running = call("/order/1");
+        m_fleet->gateway(0).beginStop();
+        const auto inTime = call("/order/1");
+        m_fleet->gateway(0).refuseNew();
+        const auto late = call("/order/1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_client.calls.size());
+        CPPUNIT_ASSERT_EQUAL(503, late->status);
+        CPPUNIT_ASSERT(late->body.find("\"not_run\"") != std::string::npos);
+        CPPUNIT_ASSERT(findHeader(late->headers, "Retry-After") != nullptr);
+        for (const auto &it : m_client.calls)
+            it->answer(200, {{"proof", "1"}}, "ok");
+        CPPUNIT_ASSERT_EQUAL(200, running->status);
+        CPPUNIT_ASSERT_EQUAL(200, inTime->status);
+    }
+
     // Guards against a node that has just started and denies what the configuration allows.
     void answers503BeforeAnyConfiguration()
     {
