Let two nodes of each failure domain read the shared state and pass it on

Change: nodes choose two readers of their failure domain by rendezvous hashing over the live nodes and ask them over HTTP in place of the store. A reader answers with the changes since a revision (StateLog), and with the age of its confirmation, to which the follower adds the time of the transfer. A reader that follows another one, or has lost the store, refuses; a silent one is left after a quarter of the drain time and 400 ms. A node without a usable reader calls the store.

--- a/core/gateway_settings.h
+++ b/core/gateway_settings.h
@@ -17,7 +17,7 @@
     ListenAddress callers;
     ListenAddress readiness;
     ListenAddress metrics;
-    /** Address that receives datagrams from other nodes. */
+    /** Address for other nodes: datagrams over UDP, calls for shared state over TCP. */
     ListenAddress peers;
     /** `ip:port` of the platform's object store. */
     std::string storeAddress;
--- a/core/interfaces/state_feed.h
+++ b/core/interfaces/state_feed.h
@@ -21,14 +21,17 @@
     HistoryGone,
     /** The response could not be parsed. */
     Malformed,
+    /** The node that was asked in place of the store did not answer; another source is next. */
+    ReaderUnavailable,
 };
 
-inline constexpr EnumNames<FeedError, 5> kFeedErrorNames = {{
+inline constexpr EnumNames<FeedError, 6> kFeedErrorNames = {{
         {FeedError::None, "none"},
         {FeedError::Unavailable, "unavailable"},
         {FeedError::RateLimited, "rate_limited"},
         {FeedError::HistoryGone, "history_gone"},
         {FeedError::Malformed, "malformed"},
+        {FeedError::ReaderUnavailable, "reader_unavailable"},
 }};
 
 /** An object of shared state, or the notice of its removal. */
@@ -41,6 +44,8 @@
     std::optional<Value> value;
     /** Why the object could not be decoded. */
     std::string fault;
+    /** The object as the store sent it, so that it can be passed on; empty when removed. */
+    std::string encoded{};
 };
 
 /** The result of a list or watch call. */
@@ -53,6 +58,8 @@
     std::uint64_t revision = 0;
     /** The list has another page after the last item. */
     bool hasMore = false;
+    /** Set by another node: upper bound for the time since the store confirmed this result. */
+    std::optional<Duration> age{};
 };
 
 /** Lists and watches all objects of one kind. Callbacks run on the event loop. */
@@ -69,6 +76,13 @@
 
     /** Long poll: waits at most @p wait for changes after @p revision. */
     virtual void watch(std::uint64_t revision, Duration wait, Done done) = 0;
+
+    /**
+     * Decides whether the next watch goes to another node in place of the store.
+     *
+     * @return the length of that watch, or nothing when it goes to the store.
+     */
+    virtual std::optional<Duration> chooseRelay() { return std::nullopt; }
 };
 
 } // namespace hawthornslip
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -21,6 +21,7 @@
 // Part of the grace period that is left for the process to exit.
 constexpr Duration kExitMargin = milliseconds(600);
 constexpr Duration kTickInterval = milliseconds(200);
+constexpr Duration kNodeRelayWatch = seconds(10);
 // The file has about 1 KiB, and polling it takes about 20 us.
 constexpr Duration kSettingsPollInterval = seconds(2);
 constexpr std::string_view kSignalTrigger = "signal";
@@ -64,9 +65,22 @@
     // Nodes join and leave rarely, and a late entry only delays the exchange of its load.
     times.watch = seconds(20);
     times.batchDelay = seconds(5);
+    times.firstWatchDelay = times.batchDelay;
     return times;
 }
 
+/** @return the length of a watch at another node, which bounds how late its loss is noticed. */
+Duration relayWatch(const GatewaySettings &settings)
+{
+    // The rest of the drain time is left for the reader's own delay and for asking another one.
+    return settings.drainWithin / 4;
+}
+
+std::string peerAddress(const GatewaySettings &settings)
+{
+    return fmt::format("{}:{}", settings.peers.ip, settings.peers.port);
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -83,12 +97,16 @@
     , m_storeClient(m_loop, kAckTimeout)
     , m_gateway(GatewayParts{m_loop, m_dialect, m_client, m_metrics}, settings, randomSeed())
     , m_transport(m_loop)
-    , m_registry(m_storeClient, settings.storeAddress)
+    , m_registry(m_storeClient, settings.storeAddress, settings.domain)
     , m_exchange(
-              LoadExchangeParts{m_loop, m_transport, m_registry, m_metrics},
-              fmt::format("{}:{}", settings.peers.ip, settings.peers.port),
+              LoadExchangeParts{m_loop, m_transport, m_registry, m_metrics}, peerAddress(settings),
               [this](PeerReport &report) { m_gateway.collectLoads(report); }, m_gateway,
               randomSeed())
+    , m_readers(peerAddress(settings))
+    , m_relay(m_loop, m_metrics)
+    , m_configSink(StateKind::Config, m_relay, m_gateway.state().configSink())
+    , m_upstreamSink(StateKind::Upstreams, m_relay, m_gateway.state().upstreamSink())
+    , m_nodeSink(StateKind::Nodes, m_relay, m_exchange)
     , m_readinessPage([this] {
         const bool ready = m_gateway.isReady();
         return StatusSink::Page(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
@@ -97,6 +115,7 @@
     , m_callerServer(m_loop, m_gateway, maxCallerConnections(settings))
     , m_readinessServer(m_loop, m_readinessPage, kReservedDescriptors / 4)
     , m_metricsServer(m_loop, m_metricsPage, kReservedDescriptors / 4)
+    , m_relayServer(m_loop, m_relay, kReservedDescriptors / 2)
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {}
 
@@ -107,7 +126,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     if (!m_callerServer.start(m_settings.callers) ||
         !m_readinessServer.start(m_settings.readiness) ||
-        !m_metricsServer.start(m_settings.metrics) || !m_transport.start(m_settings.peers))
+        !m_metricsServer.start(m_settings.metrics) || !m_transport.start(m_settings.peers) ||
+        !m_relayServer.start(m_settings.peers))
         return false;
     startFollowers();
     waitForSignal();
@@ -124,23 +144,54 @@
     return true;
 }
 
+std::optional<std::string> GatewayProcess::reader()
+{
+    return m_readers.choose(m_exchange.livePeers(m_settings.domain), m_loop.now());
+}
+
+void GatewayProcess::onReaderFailed(const std::string &reader, bool refused)
+{
+    if (refused)
+        m_readers.onRefused(reader, m_loop.now());
+    else
+        m_readers.onSilent(reader, m_loop.now());
+}
+
 void GatewayProcess::startFollowers()
 {
-    m_configFeed = platform::makeConfigFeed(m_storeClient, m_settings.storeAddress);
-    m_upstreamFeed = platform::makeUpstreamFeed(m_storeClient, m_settings.storeAddress);
+    const RelayedFeedParts parts{m_loop, m_storeClient, *this};
+    m_configFeed = std::make_unique<RelayedFeed<RoutingConfig>>(
+            StateKind::Config, parts,
+            platform::makeConfigFeed(m_storeClient, m_settings.storeAddress),
+            platform::decodeRelayedConfig, relayWatch(m_settings));
+    m_upstreamFeed = std::make_unique<RelayedFeed<UpstreamEntry>>(
+            StateKind::Upstreams, parts,
+            platform::makeUpstreamFeed(m_storeClient, m_settings.storeAddress),
+            platform::decodeRelayedUpstream, relayWatch(m_settings));
+    m_nodeFeed = std::make_unique<RelayedFeed<NodeEntry>>(
+            StateKind::Nodes, parts, platform::makeNodeFeed(m_storeClient, m_settings.storeAddress),
+            platform::decodeRelayedNode, kNodeRelayWatch);
     m_configFollower = std::make_unique<FeedFollower<RoutingConfig>>(
-            "config", *m_configFeed, m_gateway.state().configSink(), m_loop, m_metrics,
-            configTimes(m_settings), randomSeed());
+            "config", *m_configFeed, m_configSink, m_loop, m_metrics, configTimes(m_settings),
+            randomSeed());
     m_upstreamFollower = std::make_unique<FeedFollower<UpstreamEntry>>(
-            "upstreams", *m_upstreamFeed, m_gateway.state().upstreamSink(), m_loop, m_metrics,
+            "upstreams", *m_upstreamFeed, m_upstreamSink, m_loop, m_metrics,
             upstreamTimes(m_settings), randomSeed());
-    m_nodeFeed = platform::makeNodeFeed(m_storeClient, m_settings.storeAddress);
     m_nodeFollower = std::make_unique<FeedFollower<NodeEntry>>(
-            "nodes", *m_nodeFeed, m_exchange, m_loop, m_metrics, nodeTimes(), randomSeed());
+            "nodes", *m_nodeFeed, m_nodeSink, m_loop, m_metrics, nodeTimes(), randomSeed());
+    m_relay.setServing(StateKind::Config, [this] {
+        return !m_configFeed->isRelayed() && !m_configFollower->isFailing();
+    });
+    m_relay.setServing(StateKind::Upstreams, [this] {
+        return !m_upstreamFeed->isRelayed() && !m_upstreamFollower->isFailing();
+    });
+    m_relay.setServing(StateKind::Nodes,
+                       [this] { return !m_nodeFeed->isRelayed() && !m_nodeFollower->isFailing(); });
     // A long watch without an answer cannot distinguish an idle store from a lost one.
     m_configFollower->onContactLost([this] {
         m_upstreamFollower->abandonWatch();
         m_nodeFollower->abandonWatch();
+        m_relay.refuseHeld();
     });
     m_configFollower->onContactRegained([this] {
         m_upstreamFollower->retryNow();
@@ -217,6 +268,7 @@
         return;
     m_stopStartedAt = m_loop.now();
     m_gateway.beginStop();
+    m_relay.beginStop();
     logEvent(LogLevel::Info, "gateway_stopping",
              {{"signal", number}, {"active", m_callerServer.activeRequests()}});
 }
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -9,11 +9,15 @@
 #include "drivers/prometheus/prometheus_metrics.h"
 #include "main/settings_watch.h"
 #include "main/status_sink.h"
+#include "modules/peers/state_readers.h"
 #include "platform/node_registry.h"
 #include "platform/wire_headers.h"
 #include "servers/gateway/gateway.h"
 #include "servers/peers/load_exchange.h"
 #include "servers/state/feed_follower.h"
+#include "servers/state/recording_sink.h"
+#include "servers/state/relayed_feed.h"
+#include "servers/state/state_relay.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -23,17 +27,19 @@
 namespace hawthornslip {
 
 /** Owns the event loop, listeners, feed followers and signal handling of a gateway. */
-class GatewayProcess
+class GatewayProcess : private StateReaderSource
 {
 public:
     /** @param watch detects changes of the file that @p settings were read from. */
     GatewayProcess(const GatewaySettings &settings, SettingsWatch watch);
-    ~GatewayProcess();
+    ~GatewayProcess() override;
 
     /** Serves until SIGTERM or SIGINT. @return false when a listener cannot be started. */
     bool run();
 
 private:
+    std::optional<std::string> reader() override;
+    void onReaderFailed(const std::string &reader, bool refused) override;
     void startFollowers();
     void waitForSignal();
     void onSignal(int number);
@@ -56,14 +62,20 @@
     UdpPeerTransport m_transport;
     platform::ObjectNodeRegistry m_registry;
     LoadExchange m_exchange;
+    StateReaders m_readers;
+    StateRelay m_relay;
+    RecordingSink<RoutingConfig> m_configSink;
+    RecordingSink<UpstreamEntry> m_upstreamSink;
+    RecordingSink<NodeEntry> m_nodeSink;
     StatusSink m_readinessPage;
     StatusSink m_metricsPage;
     AsioHttpServer m_callerServer;
     AsioHttpServer m_readinessServer;
     AsioHttpServer m_metricsServer;
-    std::unique_ptr<StateFeed<RoutingConfig>> m_configFeed;
-    std::unique_ptr<StateFeed<UpstreamEntry>> m_upstreamFeed;
-    std::unique_ptr<StateFeed<NodeEntry>> m_nodeFeed;
+    AsioHttpServer m_relayServer;
+    std::unique_ptr<RelayedFeed<RoutingConfig>> m_configFeed;
+    std::unique_ptr<RelayedFeed<UpstreamEntry>> m_upstreamFeed;
+    std::unique_ptr<RelayedFeed<NodeEntry>> m_nodeFeed;
     std::unique_ptr<FeedFollower<RoutingConfig>> m_configFollower;
     std::unique_ptr<FeedFollower<UpstreamEntry>> m_upstreamFollower;
     std::unique_ptr<FeedFollower<NodeEntry>> m_nodeFollower;
--- /dev/null
+++ b/modules/freshness/state_log.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornslip {
+
+/** One encoded object of the shared state, or the notice of its removal. */
+struct StateObject
+{
+    std::string name;
+    bool removed = false;
+    /** Empty when removed. */
+    std::string encoded;
+
+    bool operator==(const StateObject &) const = default;
+};
+
+/** The objects that changed after a revision, or all of them. */
+struct StateChanges
+{
+    /** Revision that a reader has reached once it applied the objects. */
+    std::uint64_t revision = 0;
+    /** The objects are the complete list; those that are missing from it were removed. */
+    bool isComplete = false;
+    std::vector<StateObject> objects;
+};
+
+/**
+ * One kind of shared state as this node last read it, with a history of changes from which other
+ * nodes can follow it. Objects are staged as they are read and become visible with commit().
+ */
+class StateLog
+{
+public:
+    /** Stages the complete list. */
+    void stageList(std::vector<StateObject> objects);
+    /** Stages a change of one object. */
+    void stage(StateObject object);
+
+    /**
+     * Makes the staged objects visible.
+     *
+     * @param revision the state's revision with them.
+     * @param confirmedAt time at which the state was known to be complete.
+     */
+    void commit(std::uint64_t revision, TimePoint confirmedAt);
+
+    /** @return true once a complete list was committed. */
+    bool isListed() const { return m_listed; }
+    std::uint64_t revision() const { return m_revision; }
+    TimePoint confirmedAt() const { return m_confirmedAt; }
+
+    /**
+     * @param revision the revision that the reader has; nothing for the complete list.
+     * @return the changes since then; the complete list when the history does not reach back.
+     */
+    StateChanges since(std::optional<std::uint64_t> revision) const;
+
+private:
+    struct Record
+    {
+        StateObject object;
+        std::uint64_t changedAt = 0;
+    };
+
+    void put(StateObject object, std::uint64_t revision);
+    void forgetOldRemovals();
+
+    std::vector<StateObject> m_staged;
+    bool m_isListStaged = false;
+    bool m_listed = false;
+    std::map<std::string, Record> m_records;
+    std::uint64_t m_revision = 0;
+    /** Oldest revision from which the changes are known. */
+    std::uint64_t m_base = 0;
+    TimePoint m_confirmedAt{};
+};
+
+} // namespace hawthornslip
--- a/modules/peers/peer_list.cpp
+++ b/modules/peers/peer_list.cpp
@@ -46,18 +46,26 @@
         it->second = now;
 }
 
-std::vector<std::string> PeerList::peersToRemove(TimePoint now) const
+std::vector<std::string> PeerList::reachable(TimePoint now) const
 {
-    std::vector<NodeId> reachable = {NodeId(m_self)};
+    std::vector<std::string> addresses;
     for (const auto &[address, heardAt] : m_lastHeard) {
         if (now - heardAt < kUnreachableAfter)
-            reachable.emplace_back(address);
+            addresses.push_back(address);
     }
+    return addresses;
+}
+
+std::vector<std::string> PeerList::peersToRemove(TimePoint now) const
+{
+    std::vector<NodeId> candidates = {NodeId(m_self)};
+    for (auto &it : reachable(now))
+        candidates.emplace_back(std::move(it));
     std::vector<std::string> lost;
-    if (2 * reachable.size() <= m_lastHeard.size())
+    if (2 * candidates.size() <= m_lastHeard.size())
         return lost;
     for (const auto &[address, heardAt] : m_lastHeard) {
-        if (now - heardAt >= kRemoveAfter && rendezvousOwner(address, reachable).value == m_self)
+        if (now - heardAt >= kRemoveAfter && rendezvousOwner(address, candidates).value == m_self)
             lost.push_back(address);
     }
     return lost;
--- a/modules/peers/peer_list.h
+++ b/modules/peers/peer_list.h
@@ -34,6 +34,9 @@
      */
     std::vector<std::string> peersToRemove(TimePoint now) const;
 
+    /** @return the peers that were heard recently, or listed just now. */
+    std::vector<std::string> reachable(TimePoint now) const;
+
     const std::map<std::string, TimePoint> &lastHeard() const { return m_lastHeard; }
     std::size_t size() const { return m_lastHeard.size(); }
 
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -100,9 +100,12 @@
 void LoadExchange::onList(const std::vector<FeedItem<NodeEntry>> &items)
 {
     std::vector<std::string> addresses;
+    m_domains.clear();
     for (const auto &it : items) {
-        if (it.value)
-            addresses.push_back(it.value->address);
+        if (!it.value)
+            continue;
+        addresses.push_back(it.value->address);
+        m_domains[it.value->address] = it.value->domain;
     }
     m_peers.replaceAll(addresses, m_parts.loop.now());
     const bool listed = std::find(addresses.begin(), addresses.end(), m_address) != addresses.end();
@@ -119,11 +122,25 @@
             announce();
     } else if (item.removed) {
         m_peers.remove(address);
+        m_domains.erase(address);
     } else {
         m_peers.add(address, m_parts.loop.now());
+        if (item.value)
+            m_domains[address] = item.value->domain;
     }
 }
 
+std::vector<std::string> LoadExchange::livePeers(const FailureDomain &domain) const
+{
+    std::vector<std::string> live;
+    for (const auto &it : m_peers.reachable(m_parts.loop.now())) {
+        const auto found = m_domains.find(it);
+        if (found != m_domains.end() && found->second == domain)
+            live.push_back(it);
+    }
+    return live;
+}
+
 void LoadExchange::removeExpiredPeers()
 {
     for (const auto &it : m_peers.peersToRemove(m_parts.loop.now())) {
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids.h"
 #include "core/interfaces/event_loop.h"
 #include "core/interfaces/metrics.h"
 #include "core/interfaces/node_registry.h"
@@ -10,8 +11,10 @@
 #include "servers/state/feed_follower.h"
 
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace hawthornslip {
 
@@ -20,6 +23,8 @@
 {
     /** `ip:port` on which the node receives peer messages. */
     std::string address;
+    /** Failure domain of the node; empty if the entry does not name it. */
+    FailureDomain domain{};
 };
 
 /** Dependencies of a load exchange; all must outlive it. */
@@ -52,7 +57,10 @@
 
     void onList(const std::vector<FeedItem<NodeEntry>> &items) override;
     void onChange(const FeedItem<NodeEntry> &item) override;
-    void onConfirmed(TimePoint) override {}
+    void onConfirmed(TimePoint, std::uint64_t) override {}
+
+    /** @return the addresses of the nodes in @p domain that this node hears. */
+    std::vector<std::string> livePeers(const FailureDomain &domain) const;
 
 private:
     void announce();
@@ -69,6 +77,8 @@
     PeerLoads m_loads;
     ReportFilter m_filter;
     PeerList m_peers;
+    /** Failure domains of the peers, by address. */
+    std::map<std::string, FailureDomain> m_domains;
     std::mt19937_64 m_random;
     std::uint64_t m_boot;
     std::uint64_t m_sequence = 0;
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -30,6 +30,8 @@
     Duration maxBackoff = milliseconds(800);
     /** Delay of the next watch after changes, so that one call returns several changes in a row. */
     Duration batchDelay = milliseconds(120);
+    /** Delay of the first watch after a list, for state that changes a lot after a start. */
+    Duration firstWatchDelay{0};
     /**
      * Keeps the age of the state near `watch`: the watch after a change is shortened, because an
      * answer with changes only confirms the state at the start of its watch.
@@ -50,8 +52,13 @@
     /** Handles a change or removal of one object. */
     virtual void onChange(const FeedItem<Value> &item) = 0;
 
-    /** Called when everything reported so far is known to be complete as of @p at. */
-    virtual void onConfirmed(TimePoint at) = 0;
+    /**
+     * Called when everything reported so far is known to be complete.
+     *
+     * @param at time as of which it is complete.
+     * @param revision revision of the state with everything reported so far.
+     */
+    virtual void onConfirmed(TimePoint at, std::uint64_t revision) = 0;
 
     /** Called when the store answers again after a failed call. */
     virtual void onStoreRecovered() {}
@@ -144,7 +151,7 @@
     {
         const auto call = beginCall(Duration(0));
         m_feed.list(after, [this, call](Result result) {
-            if (endCall(call, "list", result.error))
+            if (endCall(call, "list", result))
                 onListed(std::move(result));
         });
     }
@@ -160,6 +167,10 @@
 
     void onListed(Result result)
     {
+        if (result.error == FeedError::ReaderUnavailable) {
+            m_loop.after(Duration(0), [this] { resumeList(); });
+            return;
+        }
         if (result.error != FeedError::None) {
             retry([this] { resumeList(); }, result.error);
             return;
@@ -181,17 +192,21 @@
         logEvent(LogLevel::Info, "state_listed",
                  {{"kind", m_kind}, {"objects", m_items.size()}, {"revision", m_revision}});
         m_sink.onList(std::exchange(m_items, {}));
-        confirm(m_listStart);
-        watch();
+        confirm(result.age ? m_loop.now() - *result.age : m_listStart);
+        if (m_times.firstWatchDelay > Duration(0))
+            m_loop.after(m_times.firstWatchDelay, [this] { watch(); });
+        else
+            watch();
     }
 
     void watch()
     {
         const TimePoint start = m_loop.now();
-        const Duration wait = watchDuration(start);
+        const auto relayWatch = m_feed.chooseRelay();
+        const Duration wait = relayWatch ? *relayWatch : watchDuration(start);
         const auto call = beginCall(wait);
         m_feed.watch(m_revision, wait, [this, call, start, wait](Result result) {
-            if (endCall(call, "watch", result.error))
+            if (endCall(call, "watch", result))
                 onWatched(std::move(result), start, wait);
         });
     }
@@ -209,8 +224,8 @@
 
     void confirm(TimePoint at)
     {
-        m_confirmedAt = at;
-        m_sink.onConfirmed(at);
+        m_confirmedAt = std::max(m_confirmedAt, at);
+        m_sink.onConfirmed(at, m_revision);
     }
 
     void onWatched(Result result, TimePoint start, Duration wait)
@@ -221,6 +236,10 @@
             list();
             return;
         }
+        if (result.error == FeedError::ReaderUnavailable) {
+            m_loop.after(Duration(0), [this] { watch(); });
+            return;
+        }
         if (result.error != FeedError::None) {
             retry([this] { watch(); }, result.error);
             return;
@@ -229,6 +248,11 @@
         m_revision = std::max(m_revision, result.revision);
         for (const auto &it : result.items)
             m_sink.onChange(it);
+        if (result.age) {
+            confirm(m_loop.now() - *result.age);
+            watch();
+            return;
+        }
         const bool waited = m_loop.now() - start >= wait;
         confirm(waited && result.items.empty() ? start + wait : start);
         if (result.items.empty() && waited)
@@ -252,12 +276,16 @@
     }
 
     /** @return false when the call was already given up. */
-    bool endCall(std::uint64_t call, std::string_view operation, FeedError error)
+    bool endCall(std::uint64_t call, std::string_view operation, const Result &result)
     {
         if (call != m_callId)
             return false;
         ++m_callId;
         m_loop.cancel(m_overdueTimer);
+        const FeedError error = result.error;
+        // The call went to another node, which does not count as a call to the store.
+        if (result.age || error == FeedError::ReaderUnavailable)
+            return true;
         m_metrics.count(metric::kStoreCalls,
                         {{"duty", m_kind}, {"result", nameOf(kFeedErrorNames, error)}});
         if (error != FeedError::None && error != FeedError::HistoryGone && m_failures == 0)
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -245,7 +245,7 @@
             ScriptedStore store;
             store.answers.push_back({UpstreamResult::Complete, status, ""});
             bool got = !expected;
-            ObjectNodeRegistry registry(store, "a:1");
+            ObjectNodeRegistry registry(store, "a:1", FailureDomain("west"));
             registry.announce("10.0.0.1:7000", [&got](bool done) { got = done; });
             CPPUNIT_ASSERT_EQUAL(expected, got);
             CPPUNIT_ASSERT(store.requests[0].body.find("10.0.0.1:7000") != std::string::npos);
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -42,13 +42,18 @@
 public:
     void onList(const std::vector<FeedItem<int>> &list) override { items = list.size(); }
     void onChange(const FeedItem<int> &) override { ++changes; }
-    void onConfirmed(TimePoint at) override { confirmed = at; }
+    void onConfirmed(TimePoint at, std::uint64_t at_revision) override
+    {
+        confirmed = at;
+        revision = at_revision;
+    }
     void onStoreRecovered() override { ++recoveries; }
 
     std::size_t items = 0;
     int changes = 0;
     int recoveries = 0;
     TimePoint confirmed{};
+    std::uint64_t revision = 0;
 };
 
 FeedResult<int> makeResult(std::uint64_t revision, std::size_t items = 0)
--- a/tests/soak/gateway_process_runner.cpp
+++ b/tests/soak/gateway_process_runner.cpp
@@ -45,8 +45,8 @@
                         "[keys]\nfail_closed = true\nrevoke_within_ms = 5000\n"
                         "[upstreams]\ndrain_within_ms = 2000\n"
                         "[retries]\nratio = 0.2\nwindow_s = 10\n[stop]\ngrace_s = 8\n",
-                        m_index, m_ports.callers, m_ports.readiness, m_ports.metrics,
-                        m_ports.metrics, m_ports.store);
+                        m_index, m_ports.callers, m_ports.readiness, m_ports.metrics, m_ports.peers,
+                        m_ports.store);
 }
 
 bool GatewayProcessRunner::start()
--- a/tests/soak/gateway_process_runner.h
+++ b/tests/soak/gateway_process_runner.h
@@ -13,6 +13,7 @@
     std::uint16_t callers = 0;
     std::uint16_t readiness = 0;
     std::uint16_t metrics = 0;
+    std::uint16_t peers = 0;
     /** The gateway's own way to the store, through a proxy. */
     std::uint16_t store = 0;
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -115,7 +115,8 @@
 {
     for (std::size_t i = 0; i < m_options.gateways; ++i) {
         m_storeProxies.push_back(std::make_unique<FaultProxy>(m_loop, m_storePort));
-        const GatewayPorts ports{freePort(), freePort(), freePort(), m_storeProxies[i]->start()};
+        const GatewayPorts ports{freePort(), freePort(), freePort(), freePort(),
+                                 m_storeProxies[i]->start()};
         m_gateways.push_back(std::make_unique<GatewayProcessRunner>(m_options.binary,
                                                                     m_options.folder, i, ports));
         m_gateways.back()->start();
