Read the list of nodes first at a start, and the rest of the state from readers

With peers of its failure domain in the list it asks a reader for the rest, and a reader that has not read its own list yet holds the call for a moment. At the first start of a deployment, when the list is empty, the followers start 1.5 s later, when all nodes have announced themselves.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kExitMargin = milliseconds(600);
 constexpr Duration kTickInterval = milliseconds(200);
 constexpr Duration kNodeRelayWatch = seconds(10);
+// Time in which nodes that start together have written their entries to the store.
+constexpr Duration kFirstAnnouncements = seconds(1);
 // The file has about 1 KiB, and polling it takes about 20 us.
 constexpr Duration kSettingsPollInterval = seconds(2);
 constexpr std::string_view kSignalTrigger = "signal";
@@ -65,7 +67,7 @@
     // Nodes join and leave rarely, and a late entry only delays the exchange of its load.
     times.watch = seconds(20);
     times.batchDelay = seconds(5);
-    times.firstWatchDelay = times.batchDelay;
+    times.firstWatchDelay = kFirstAnnouncements;
     return times;
 }
 
@@ -200,13 +202,26 @@
     const auto isStoreLost = [this] { return m_configFollower->isFailing(); };
     m_upstreamFollower->deferRetriesWhile(isStoreLost);
     m_nodeFollower->deferRetriesWhile(isStoreLost);
-    m_configFollower->start();
-    m_upstreamFollower->start();
-    m_nodeFollower->start();
     m_exchange.start();
+    // With its peers known, a node reads the rest of the state from a reader. At the first start of
+    // a deployment the list is empty, and the nodes first announce themselves.
+    m_exchange.onListRead([this] {
+        if (!m_exchange.livePeers(m_settings.domain).empty())
+            startStateFollowers();
+    });
+    m_nodeFollower->start();
+    m_loop.after(kFirstAnnouncements + kFirstAnnouncements / 2, [this] { startStateFollowers(); });
     m_gateway.onLoadChanged([this] { m_exchange.onLoadChanged(); });
 }
 
+void GatewayProcess::startStateFollowers()
+{
+    if (std::exchange(m_stateFollowersStarted, true))
+        return;
+    m_configFollower->start();
+    m_upstreamFollower->start();
+}
+
 void GatewayProcess::waitForSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &ec, int number) {
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -41,6 +41,8 @@
     std::optional<std::string> reader() override;
     void onReaderFailed(const std::string &reader, bool refused) override;
     void startFollowers();
+    /** Starts to follow configuration and upstreams, unless that has been done. */
+    void startStateFollowers();
     void waitForSignal();
     void onSignal(int number);
     void reload(std::string_view trigger);
@@ -79,6 +81,7 @@
     std::unique_ptr<FeedFollower<RoutingConfig>> m_configFollower;
     std::unique_ptr<FeedFollower<UpstreamEntry>> m_upstreamFollower;
     std::unique_ptr<FeedFollower<NodeEntry>> m_nodeFollower;
+    bool m_stateFollowersStarted = false;
     boost::asio::signal_set m_signals;
     TimePoint m_stopStartedAt{};
     bool m_stoppedAccepting = false;
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -112,6 +112,8 @@
     logEvent(LogLevel::Info, "peers_listed", {{"peers", m_peers.size()}, {"self", listed}});
     if (!listed)
         announce();
+    if (m_listRead)
+        m_listRead();
 }
 
 void LoadExchange::onChange(const FeedItem<NodeEntry> &item)
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -52,6 +52,9 @@
     /** Starts sending and receiving reports. */
     void start();
 
+    /** Sets the callback that runs after the list of nodes was read. */
+    void onListRead(std::function<void()> task) { m_listRead = std::move(task); }
+
     /** Schedules a report after a change of this node's load. */
     void onLoadChanged();
 
@@ -79,6 +82,7 @@
     PeerList m_peers;
     /** Failure domains of the peers, by address. */
     std::map<std::string, FailureDomain> m_domains;
+    std::function<void()> m_listRead;
     std::mt19937_64 m_random;
     std::uint64_t m_boot;
     std::uint64_t m_sequence = 0;
--- a/servers/state/relayed_feed.h
+++ b/servers/state/relayed_feed.h
@@ -71,7 +71,7 @@
         const auto reader = after.empty() ? m_parts.readers.reader() : std::nullopt;
         m_isRelayed = reader.has_value();
         if (reader)
-            call(*reader, std::nullopt, Duration(0), std::move(done));
+            call(*reader, std::nullopt, kListWait, std::move(done));
         else
             m_store->list(after, std::move(done));
     }
@@ -98,6 +98,9 @@
 private:
     // Added to a call's wait. The answer of a reader takes a few milliseconds.
     static constexpr Duration kReplyTimeout = milliseconds(400);
+    // A reader that starts at the same time has read its own list within this time. Shorter than
+    // the time after which a follower gives a list up.
+    static constexpr Duration kListWait = milliseconds(80);
 
     /** Collects a reader's reply, within a limit. */
     class Handler : public UpstreamHandler
@@ -141,8 +144,9 @@
         UpstreamRequest request;
         request.method = "GET";
         request.url = fmt::format("http://{}/state/{}", reader, nameOf(kStateKindNames, m_kind));
+        request.url += fmt::format("?wait_ms={}", toMillis(wait));
         if (after)
-            request.url += fmt::format("?after={}&wait_ms={}", *after, toMillis(wait));
+            request.url += fmt::format("&after={}", *after);
         request.headers = {{"Host", "state"}};
         request.connectTimeout = kReplyTimeout;
         request.totalTimeout = wait + kReplyTimeout;
--- a/servers/state/state_relay.cpp
+++ b/servers/state/state_relay.cpp
@@ -116,15 +116,17 @@
     const auto waitMs = queryNumber(request.query, "wait_ms").value_or(0);
     const Duration wait = std::min<Duration>(
             milliseconds(std::min<std::uint64_t>(waitMs, toMillis(kMaxWait))), kMaxWait);
-    const auto changes = asked.log.since(call->after);
-    if (changes.isComplete || !changes.objects.empty() || wait <= Duration(0)) {
-        reply(asked, *call);
-        return nullptr;
+    if (asked.log.isListed()) {
+        const auto changes = asked.log.since(call->after);
+        if (changes.isComplete || !changes.objects.empty() || wait <= Duration(0)) {
+            reply(asked, *call);
+            return nullptr;
+        }
     }
     call->timer = m_loop.after(wait, [this, &asked, call] {
         call->timer = 0;
         std::erase(asked.held, call);
-        if (isServing(asked))
+        if (isServing(asked) && asked.log.isListed())
             reply(asked, *call);
         else
             refuse(*call, kUnavailable);
@@ -140,7 +142,7 @@
 
 bool StateRelay::isServing(KindState &state) const
 {
-    return !m_stopping && state.log.isListed() && state.isServing && state.isServing();
+    return !m_stopping && state.isServing && state.isServing();
 }
 
 void StateRelay::reply(const KindState &state, const HeldCall &call)
@@ -168,7 +170,7 @@
 
 void StateRelay::answerHeld(KindState &state)
 {
-    const bool mayAnswer = isServing(state);
+    const bool mayAnswer = isServing(state) && state.log.isListed();
     for (const auto &it : std::exchange(state.held, {})) {
         m_loop.cancel(std::exchange(it->timer, 0));
         if (mayAnswer)
