Report loads within the failure domain, and sums of domains between them

Cause: each node reported its loads to all others.

Change: as soon as a sum in two steps is fresher than reports of all nodes to all others, a node reports within its failure domain only. One node of each domain sends the sum of its loads to two nodes of each other domain, which pass it on. Sums carry the nodes that were heard, for the removal of lost nodes. With few nodes nothing changes.

Tests: the plan with 9 and 195 nodes, and 9 to 195 nodes in virtual time: every node knows the sum, once and not later than before; bytes between domains from 100 to 300 nodes grow by at most three; a third of the nodes lost.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -101,7 +101,8 @@
     , m_transport(m_loop)
     , m_registry(m_storeClient, settings.storeAddress, settings.domain)
     , m_exchange(
-              LoadExchangeParts{m_loop, m_transport, m_registry, m_metrics}, peerAddress(settings),
+              LoadExchangeParts{m_loop, m_transport, m_registry, m_metrics},
+              NodeEntry{peerAddress(settings), settings.domain},
               [this](PeerReport &report) { m_gateway.collectLoads(report); }, m_gateway,
               randomSeed())
     , m_readers(peerAddress(settings))
--- /dev/null
+++ b/modules/peers/domain_loads.cpp
@@ -0,0 +1,52 @@
+#include "modules/peers/domain_loads.h"
+
+#include <algorithm>
+
+namespace hawthornslip {
+
+void DomainLoads::onPeerLoad(const LoadChange &change)
+{
+    Sum &sum = m_loads[change.upstreamHash];
+    sum.running += change.running;
+    sum.sensitive += change.sensitive;
+    for (std::size_t i = 0; i < kUrgencyLevels; ++i)
+        sum.promptTokens[i] += change.promptTokens[i];
+}
+
+void DomainLoads::onPeerDemand(std::uint64_t service, const NodeDemand &added)
+{
+    NodeDemand &sum = m_demands[service];
+    sum.tolerantTokens += added.tolerantTokens;
+    sum.sensitiveTokens += added.sensitiveTokens;
+}
+
+void DomainLoads::addTo(PeerReport &report) const
+{
+    auto rest = m_loads;
+    const auto add = [](NodeLoad &load, const Sum &sum) {
+        load.running += static_cast<std::uint32_t>(std::max<std::int64_t>(0, sum.running));
+        load.sensitive += static_cast<std::uint32_t>(std::max<std::int64_t>(0, sum.sensitive));
+        for (std::size_t i = 0; i < kUrgencyLevels; ++i)
+            load.promptTokens[i] += sum.promptTokens[i];
+    };
+    for (auto &it : report.loads) {
+        if (const auto node = rest.extract(it.upstreamHash))
+            add(it, node.mapped());
+    }
+    for (const auto &[upstream, sum] : rest) {
+        NodeLoad load;
+        load.upstreamHash = upstream;
+        add(load, sum);
+        report.loads.push_back(load);
+    }
+    auto demands = m_demands;
+    for (auto &[service, own] : report.demands) {
+        if (const auto node = demands.extract(service)) {
+            own.tolerantTokens += node.mapped().tolerantTokens;
+            own.sensitiveTokens += node.mapped().sensitiveTokens;
+        }
+    }
+    report.demands.insert(report.demands.end(), demands.begin(), demands.end());
+}
+
+} // namespace hawthornslip
--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -67,6 +67,15 @@
     peer.demands.clear();
 }
 
+void PeerLoads::forget(const std::string &node)
+{
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    subtractLoads(it->second);
+    m_peers.erase(it);
+}
+
 void PeerLoads::expire(TimePoint now)
 {
     for (auto it = m_peers.begin(); it != m_peers.end();) {
--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -10,11 +10,19 @@
 
 namespace hawthornslip {
 
-/** Load report of one node to its peers. */
+/** Load report of one node, or of all nodes of its failure domain, to peers. */
 struct PeerReport
 {
-    /** Address `ip:port` on which the node receives reports. */
+    /** Address `ip:port` on which the sender receives reports. */
     std::string node;
+    /** Failure domain of the sender. */
+    std::string domain;
+    /** The loads and demands are the sums of all nodes in the sender's failure domain. */
+    bool isSummary = false;
+    /** A summary that another node has passed on. */
+    bool isForwarded = false;
+    /** Nodes of the failure domain that the sender of a summary has heard recently. */
+    std::vector<std::string> heardNodes;
     /** Random incarnation number, new with each start of the process. */
     std::uint64_t boot = 0;
     std::uint64_t sequence = 0;
@@ -45,6 +53,9 @@
     /** Handles a report; one that is not newer than its sender's last one is ignored. */
     void onReport(const PeerReport &report, TimePoint now);
 
+    /** Drops a peer and subtracts its running requests. */
+    void forget(const std::string &node);
+
     /** Drops silent peers and subtracts their running requests. */
     void expire(TimePoint now);
 
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -9,21 +9,21 @@
 
 namespace {
 
-// The interval between a node's reports grows by this for each peer, so that a node receives at
-// most about 250 reports per second at any number of nodes.
-constexpr Duration kReportIntervalPerPeer = milliseconds(4);
-constexpr Duration kMinReportInterval = milliseconds(25);
 // An idle node reports too, as a heartbeat.
 constexpr Duration kIdleReportInterval = seconds(1);
 constexpr Duration kTickInterval = milliseconds(500);
+// After this time without a summary, reports of single nodes of a failure domain count again.
+constexpr Duration kSummaryTimeout = seconds(3);
+constexpr std::string_view kSummaryKeyPrefix = "domain ";
 constexpr Duration kAnnounceRetryDelay = milliseconds(700);
 
 } // namespace
 
-LoadExchange::LoadExchange(LoadExchangeParts parts, std::string address, Collect collect,
+LoadExchange::LoadExchange(LoadExchangeParts parts, NodeEntry self, Collect collect,
                            PeerLoadSink &sink, std::uint64_t seed)
     : m_parts(parts)
-    , m_address(std::move(address))
+    , m_address(std::move(self.address))
+    , m_domain(std::move(self.domain))
     , m_collect(std::move(collect))
     , m_loads(sink)
     , m_peers(m_address)
@@ -34,11 +34,14 @@
 void LoadExchange::start()
 {
     m_parts.transport.setReceiver([this](const std::string &bytes) { receive(bytes); });
+    updatePlan();
     m_parts.loop.after(kTickInterval, [this] { tick(); });
+    m_parts.loop.after(kSummaryInterval, [this] { summarize(); });
 }
 
 void LoadExchange::onLoadChanged()
 {
+    m_loadChangedSinceSummary = true;
     if (!m_reportScheduled && m_peers.size() > 0)
         scheduleReport();
 }
@@ -47,51 +50,147 @@
 {
     m_reportScheduled = true;
     const Duration since = m_parts.loop.now() - m_reportedAt;
-    m_parts.loop.after(std::max(Duration(0), reportInterval() - since), [this] {
+    m_parts.loop.after(std::max(Duration(0), m_plan.interval - since), [this] {
         m_reportScheduled = false;
         sendReport();
     });
 }
 
-Duration LoadExchange::reportInterval() const
+void LoadExchange::updatePlan()
 {
-    const auto peers = static_cast<std::int64_t>(m_peers.size());
-    return std::max<Duration>(kMinReportInterval, kReportIntervalPerPeer * peers);
+    std::vector<ReportPeer> peers;
+    const TimePoint now = m_parts.loop.now();
+    for (const auto &[address, heardAt] : m_peers.lastHeard())
+        peers.push_back({address, domainOf(address), now - heardAt});
+    m_plan = planReports(m_address, m_domain, peers);
 }
 
-void LoadExchange::sendReport()
+FailureDomain LoadExchange::domainOf(const std::string &address) const
+{
+    const auto it = m_domains.find(address);
+    return it == m_domains.end() ? FailureDomain() : it->second;
+}
+
+PeerReport LoadExchange::makeReport()
 {
-    m_reportedAt = m_parts.loop.now();
     PeerReport report;
     report.node = m_address;
+    report.domain = m_domain.value;
     report.boot = m_boot;
     report.sequence = ++m_sequence;
     m_collect(report);
+    return report;
+}
+
+void LoadExchange::sendReport()
+{
+    m_reportedAt = m_parts.loop.now();
+    PeerReport report = makeReport();
     report.loads = m_filter.select(report.loads);
+    send(report, m_plan.recipients, "load");
+}
+
+void LoadExchange::summarize()
+{
+    if (m_plan.isSummarizer &&
+        (m_loadChangedSinceSummary || m_parts.loop.now() - m_summarizedAt >= kIdleReportInterval))
+        sendSummary();
+    m_parts.loop.after(kSummaryInterval, [this] { summarize(); });
+}
+
+void LoadExchange::sendSummary()
+{
+    const TimePoint now = m_parts.loop.now();
+    m_summarizedAt = now;
+    m_loadChangedSinceSummary = false;
+    PeerReport report = makeReport();
+    report.isSummary = true;
+    m_domainSum.addTo(report);
+    report.loads = m_summaryFilter.select(report.loads);
+    if (now - m_heardNodesSentAt >= kIdleReportInterval) {
+        m_heardNodesSentAt = now;
+        report.heardNodes = livePeers(m_domain);
+    }
+    send(report, m_plan.summaryRecipients, "summary");
+}
+
+void LoadExchange::send(const PeerReport &report, const std::vector<std::string> &recipients,
+                        std::string_view kind)
+{
+    if (recipients.empty())
+        return;
     const std::string bytes = encodeReport(report);
-    for (const auto &[address, sign] : m_peers.lastHeard())
-        m_parts.transport.send(NodeId(address), bytes);
-    const auto sent = static_cast<double>(m_peers.size());
-    m_parts.metrics.count(metric::kPeerMessages, {{"direction", "sent"}, {"kind", "load"}}, sent);
-    m_parts.metrics.count(metric::kPeerBytes, {{"direction", "sent"}, {"kind", "load"}},
+    for (const auto &it : recipients)
+        m_parts.transport.send(NodeId(it), bytes);
+    const auto sent = static_cast<double>(recipients.size());
+    m_parts.metrics.count(metric::kPeerMessages, {{"direction", "sent"}, {"kind", kind}}, sent);
+    m_parts.metrics.count(metric::kPeerBytes, {{"direction", "sent"}, {"kind", kind}},
                           sent * static_cast<double>(bytes.size()));
 }
 
 void LoadExchange::receive(const std::string &bytes)
 {
-    const auto report = decodeReport(bytes);
-    const std::string_view result = report ? "load" : "unreadable";
+    auto report = decodeReport(bytes);
+    const std::string_view result =
+            !report ? "unreadable" : (report->isSummary ? "summary" : "load");
     m_parts.metrics.count(metric::kPeerMessages, {{"direction", "received"}, {"kind", result}});
     if (!report || report->node == m_address)
         return;
     m_peers.onHeard(report->node, m_parts.loop.now());
-    m_loads.onReport(*report, m_parts.loop.now());
+    if (report->isSummary)
+        onSummary(std::move(*report));
+    else
+        onNodeReport(*report);
+}
+
+void LoadExchange::onNodeReport(const PeerReport &report)
+{
+    const TimePoint now = m_parts.loop.now();
+    if (report.domain == m_domain.value) {
+        m_domainLoads.onReport(report, now);
+        m_loadChangedSinceSummary = true;
+    } else if (isSummarized(FailureDomain(report.domain))) {
+        // Its loads are part of the summary.
+        return;
+    }
+    m_loads.onReport(report, now);
+}
+
+void LoadExchange::onSummary(PeerReport report)
+{
+    const FailureDomain domain(report.domain);
+    if (domain == m_domain || domain.value.empty())
+        return;
+    const TimePoint now = m_parts.loop.now();
+    for (const auto &it : report.heardNodes) {
+        if (domainOf(it) == domain)
+            m_peers.onHeard(it, now);
+    }
+    m_summaryHeardAt[domain] = now;
+    for (const auto &[address, of] : m_domains) {
+        if (of == domain)
+            m_loads.forget(address);
+    }
+    if (!report.isForwarded) {
+        report.isForwarded = true;
+        send(report, m_plan.recipients, "forwarded_summary");
+    }
+    report.node = std::string(kSummaryKeyPrefix) + domain.value;
+    m_loads.onReport(report, now);
+}
+
+bool LoadExchange::isSummarized(const FailureDomain &domain) const
+{
+    const auto it = m_summaryHeardAt.find(domain);
+    return it != m_summaryHeardAt.end() && m_parts.loop.now() - it->second < kSummaryTimeout;
 }
 
 void LoadExchange::tick()
 {
     m_loads.expire(m_parts.loop.now());
+    m_domainLoads.expire(m_parts.loop.now());
     removeExpiredPeers();
+    updatePlan();
     if (m_parts.loop.now() - m_reportedAt >= kIdleReportInterval && !m_reportScheduled)
         sendReport();
     m_parts.loop.after(kTickInterval, [this] { tick(); });
@@ -110,6 +209,7 @@
     m_peers.replaceAll(addresses, m_parts.loop.now());
     const bool listed = std::find(addresses.begin(), addresses.end(), m_address) != addresses.end();
     logEvent(LogLevel::Info, "peers_listed", {{"peers", m_peers.size()}, {"self", listed}});
+    updatePlan();
     if (!listed)
         announce();
     if (m_listRead)
@@ -130,6 +230,7 @@
         if (item.value)
             m_domains[address] = item.value->domain;
     }
+    updatePlan();
 }
 
 std::vector<std::string> LoadExchange::livePeers(const FailureDomain &domain) const
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -5,15 +5,18 @@
 #include "core/interfaces/metrics.h"
 #include "core/interfaces/node_registry.h"
 #include "core/interfaces/peer_transport.h"
+#include "modules/peers/domain_loads.h"
 #include "modules/peers/peer_list.h"
 #include "modules/peers/peer_loads.h"
 #include "modules/peers/report_filter.h"
+#include "modules/peers/report_plan.h"
 #include "servers/state/feed_follower.h"
 
 #include <functional>
 #include <map>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornslip {
@@ -46,7 +49,7 @@
     /** Adds the loads and demands of this node to a report. */
     using Collect = std::function<void(PeerReport &)>;
 
-    LoadExchange(LoadExchangeParts parts, std::string address, Collect collect, PeerLoadSink &sink,
+    LoadExchange(LoadExchangeParts parts, NodeEntry self, Collect collect, PeerLoadSink &sink,
                  std::uint64_t seed);
 
     /** Starts sending and receiving reports. */
@@ -69,17 +72,35 @@
     void announce();
     void removeExpiredPeers();
     void receive(const std::string &bytes);
+    void onNodeReport(const PeerReport &report);
+    void onSummary(PeerReport report);
+    bool isSummarized(const FailureDomain &domain) const;
+    FailureDomain domainOf(const std::string &address) const;
+    void updatePlan();
+    PeerReport makeReport();
     void sendReport();
+    void sendSummary();
+    void summarize();
+    void send(const PeerReport &report, const std::vector<std::string> &recipients,
+              std::string_view kind);
     void scheduleReport();
-    Duration reportInterval() const;
     void tick();
 
     LoadExchangeParts m_parts;
     std::string m_address;
+    FailureDomain m_domain;
     Collect m_collect;
+    /** Loads of single nodes, and of other failure domains. */
     PeerLoads m_loads;
+    DomainLoads m_domainSum;
+    /** Loads of the other nodes in this node's failure domain, for its sum. */
+    PeerLoads m_domainLoads{m_domainSum};
     ReportFilter m_filter;
+    ReportFilter m_summaryFilter;
     PeerList m_peers;
+    ReportPlan m_plan;
+    /** Time of the last summary, by failure domain. */
+    std::map<FailureDomain, TimePoint> m_summaryHeardAt;
     /** Failure domains of the peers, by address. */
     std::map<std::string, FailureDomain> m_domains;
     std::function<void()> m_listRead;
@@ -89,6 +110,9 @@
     bool m_announcing = false;
     bool m_reportScheduled = false;
     TimePoint m_reportedAt{};
+    TimePoint m_summarizedAt{};
+    TimePoint m_heardNodesSentAt{};
+    bool m_loadChangedSinceSummary = false;
 };
 
 } // namespace hawthornslip
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -12,6 +12,11 @@
     message.set_node(report.node);
     message.set_boot(report.boot);
     message.set_sequence(report.sequence);
+    message.set_domain(report.domain);
+    message.set_summary(report.isSummary);
+    message.set_forwarded(report.isForwarded);
+    for (const auto &it : report.heardNodes)
+        message.add_heard_nodes(it);
     for (const auto &it : report.loads) {
         auto *load = message.add_loads();
         load->set_upstream(it.upstreamHash);
@@ -42,6 +47,10 @@
     report.node = message.node();
     report.boot = message.boot();
     report.sequence = message.sequence();
+    report.domain = message.domain();
+    report.isSummary = message.summary();
+    report.isForwarded = message.forwarded();
+    report.heardNodes.assign(message.heard_nodes().begin(), message.heard_nodes().end());
     for (const auto &it : message.loads()) {
         NodeLoad load{it.upstream(), it.running(), it.sensitive(), {}};
         const auto levels = std::min<std::size_t>(kUrgencyLevels, it.prompt_tokens().size());
