Do not follow shared state over connections that were idle for long

Before readers, each node used its connections all the time and noticed the cut.

Change: calls for state use no connection that was idle for over 2 s; the client closes such connections instead of keeping them.

--- a/core/interfaces/upstream_client.h
+++ b/core/interfaces/upstream_client.h
@@ -40,6 +40,12 @@
     Duration reuseWithin = seconds(3600);
 };
 
+/**
+ * For calls that follow shared state: a connection that was idle for longer may have been cut in
+ * the meantime, which a long poll would notice only after seconds.
+ */
+inline constexpr Duration kStateReuseWithin = seconds(2);
+
 /** How a call to a back end ended. */
 enum class UpstreamResult {
     /** The complete response arrived. */
--- a/drivers/asio/asio_upstream_client.cpp
+++ b/drivers/asio/asio_upstream_client.cpp
@@ -90,10 +90,8 @@
     auto &connections = it->second;
     while (!connections.empty()) {
         auto connection = connections.back();
-        if (now - connection->idleSince() >= reuseWithin)
-            return nullptr;
         connections.pop_back();
-        if (now < connection->usableUntil())
+        if (now < connection->usableUntil() && now - connection->idleSince() < reuseWithin)
             return connection;
         connection->close();
     }
--- a/servers/state/relayed_feed.h
+++ b/servers/state/relayed_feed.h
@@ -150,6 +150,7 @@
         request.headers = {{"Host", "state"}};
         request.connectTimeout = kReplyTimeout;
         request.totalTimeout = wait + kReplyTimeout;
+        request.reuseWithin = kStateReuseWithin;
         const TimePoint sentAt = m_parts.loop.now();
         m_parts.client.send(
                 std::move(request),
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(surplusAnswerOnIdleConnectionClosesIt);
     CPPUNIT_TEST(endlessBytesEndTheCall);
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
+    CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
     CPPUNIT_TEST(brokenAnswerWithoutLengthEndsWithReset);
     CPPUNIT_TEST(requestThatArrivesDuringTheStopIsAnswered);
     CPPUNIT_TEST(waitingConnectionsAreServedBeforeTheListenerCloses);
@@ -119,6 +120,24 @@
         peer.expectClosed();
     }
 
+    // Guards against a call on a connection that was cut without notice while it was idle.
+    void connectionIdleForTooLongIsNotUsed()
+    {
+        auto handler = sendToPeer("1");
+        auto &first = acceptPeer();
+        first.expect("\r\n\r\n");
+        first.send("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
+        runUntil(*m_loop, [&] { return handler->ended; });
+        m_loop->context().run_for(std::chrono::milliseconds(30));
+        UpstreamRequest request;
+        request.method = "GET";
+        request.url = fmt::format("http://127.0.0.1:{}/", m_acceptor->local_endpoint().port());
+        request.reuseWithin = milliseconds(20);
+        m_client->send(request, std::make_shared<RecordingHandler>());
+        acceptPeer().expect("GET / HTTP/1.1");
+        first.expectClosed();
+    }
+
     // Guards against a broken-off answer that looks complete to a caller of HTTP/1.0, whose answers
     // end with the connection.
     void brokenAnswerWithoutLengthEndsWithReset()
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -235,6 +235,8 @@
                 got = result.error;
             });
             CPPUNIT_ASSERT(got == error);
+            // A connection that was cut while idle would hide a change from this node for seconds.
+            CPPUNIT_ASSERT(store.requests[0].reuseWithin <= kStateReuseWithin);
         }
     }
 
--- a/tests/servers/state/state_relay_test.cpp
+++ b/tests/servers/state/state_relay_test.cpp
@@ -368,6 +368,8 @@
 std::shared_ptr<UpstreamCall> PeerClient::send(UpstreamRequest request,
                                                std::shared_ptr<UpstreamHandler> handler)
 {
+    // A connection that was cut while idle would delay the failure of the call by seconds.
+    CPPUNIT_ASSERT(request.reuseWithin <= kStateReuseWithin);
     const auto first = std::make_shared<FirstEnd>(std::move(handler));
     m_cluster.loop.after(request.totalTimeout, [first] {
         first->onEnd({UpstreamResult::TotalTimeout, 0, "", false});
