Poll the store more often at readers, and have none in small failure domains

Cause: a reader that has silently lost the store, and its followers with it, notices that after 3.5 s, later than a drain time of 2 to 3 s allows; a node that reads for itself is out of touch then, its followers are not.

Change: while nodes follow it, a reader's watch of the configuration lasts a third of the drain time, and an answer is overdue after a sixth. In failure domains where this would cost more calls than it saves, each node calls the store.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -22,6 +24,8 @@
 constexpr Duration kExitMargin = milliseconds(600);
 constexpr Duration kTickInterval = milliseconds(200);
 constexpr Duration kNodeRelayWatch = seconds(10);
+// Bounds the pace of a reader when no drain time is set.
+constexpr double kShortestWatchSeconds = 0.2;
 // Time in which nodes that start together have written their entries to the store.
 constexpr Duration kFirstAnnouncements = seconds(1);
 // The file has about 1 KiB, and polling it takes about 20 us.
@@ -78,6 +82,29 @@
     return settings.drainWithin / 4;
 }
 
+/** @return the length of a reader's watch of the configuration, which notices a lost store. */
+Duration readerWatch(const GatewaySettings &settings)
+{
+    // The nodes that follow a reader do not notice that it has lost the store. With the time until
+    // the answer is overdue, half of the drain time is left for asking another reader.
+    return std::min(configTimes(settings).watch, settings.drainWithin / 3);
+}
+
+Duration readerOverdueAfter(const GatewaySettings &settings)
+{
+    return std::min(configTimes(settings).overdueAfter, settings.drainWithin / 6);
+}
+
+/** @return the number of nodes in a failure domain from which on readers save calls. */
+std::size_t minNodesForReaders(const GatewaySettings &settings)
+{
+    const auto paceRatio = toSeconds(configTimes(settings).watch) /
+                           std::max(toSeconds(readerWatch(settings)), kShortestWatchSeconds);
+    return static_cast<std::size_t>(
+                   std::ceil(static_cast<double>(StateReaders::kReadersPerDomain) * paceRatio)) +
+           1;
+}
+
 std::string peerAddress(const GatewaySettings &settings)
 {
     return fmt::format("{}:{}", settings.peers.ip, settings.peers.port);
@@ -105,7 +132,7 @@
               NodeEntry{peerAddress(settings), settings.domain},
               [this](PeerReport &report) { m_gateway.collectLoads(report); }, m_gateway,
               randomSeed())
-    , m_readers(peerAddress(settings))
+    , m_readers(peerAddress(settings), minNodesForReaders(settings))
     , m_relay(m_loop, m_metrics)
     , m_configSink(StateKind::Config, m_relay, m_gateway.state().configSink())
     , m_upstreamSink(StateKind::Upstreams, m_relay, m_gateway.state().upstreamSink())
@@ -215,6 +242,15 @@
     m_gateway.onLoadChanged([this] { m_exchange.onLoadChanged(); });
 }
 
+void GatewayProcess::updateReaderPace()
+{
+    const FollowerTimes times = configTimes(m_settings);
+    if (m_relay.hasFollowers())
+        m_configFollower->setWatch(readerWatch(m_settings), readerOverdueAfter(m_settings));
+    else
+        m_configFollower->setWatch(times.watch, times.overdueAfter);
+}
+
 void GatewayProcess::startStateFollowers()
 {
     if (std::exchange(m_stateFollowersStarted, true))
@@ -269,7 +305,9 @@
     setLogLevel(*valueOf(kLogLevelNames, settings.logLevel));
     m_settings.stopGrace = settings.stopGrace;
     m_gateway.applySettings(settings);
-    m_configFollower->setWatch(configTimes(settings).watch);
+    m_settings.revokeWithin = settings.revokeWithin;
+    m_settings.drainWithin = settings.drainWithin;
+    updateReaderPace();
 }
 
 void GatewayProcess::pollSettings()
@@ -309,6 +347,7 @@
 void GatewayProcess::tick()
 {
     continueStop();
+    updateReaderPace();
     pollSettings();
     flushLog();
     m_loop.after(kTickInterval, [this] { tick(); });
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -40,6 +40,8 @@
 private:
     std::optional<std::string> reader() override;
     void onReaderFailed(const std::string &reader, bool refused) override;
+    /** Adapts the pace of reading to whether other nodes follow this one. */
+    void updateReaderPace();
     void startFollowers();
     /** Starts to follow configuration and upstreams, unless that has been done. */
     void startStateFollowers();
--- a/modules/peers/state_readers.cpp
+++ b/modules/peers/state_readers.cpp
@@ -18,13 +18,16 @@
 
 } // namespace
 
-StateReaders::StateReaders(std::string self)
+StateReaders::StateReaders(std::string self, std::size_t minNodes)
     : m_self(std::move(self))
+    , m_minNodes(minNodes)
 {}
 
 std::optional<std::string> StateReaders::choose(std::vector<std::string> peers, TimePoint now)
 {
     std::erase_if(m_avoidUntil, [now](const auto &it) { return it.second <= now; });
+    if (peers.size() + 1 < m_minNodes)
+        return std::nullopt;
     std::vector<NodeId> nodes = {NodeId(m_self)};
     for (auto &it : peers)
         nodes.emplace_back(std::move(it));
--- a/modules/peers/state_readers.h
+++ b/modules/peers/state_readers.h
@@ -24,8 +24,12 @@
     /** Number of nodes in each failure domain that call the store. */
     static constexpr std::size_t kReadersPerDomain = 2;
 
-    /** @param self this node's address. */
-    explicit StateReaders(std::string self);
+    /**
+     * @param self this node's address.
+     * @param minNodes nodes of a failure domain from which on readers save calls; a reader calls
+     *        the store more often than a node that only reads for itself.
+     */
+    explicit StateReaders(std::string self, std::size_t minNodes = kReadersPerDomain + 1);
 
     /**
      * @param peers addresses of the other live nodes in this node's failure domain.
@@ -41,6 +45,7 @@
 
 private:
     std::string m_self;
+    std::size_t m_minNodes;
     /** Readers that are not asked, with the time until then. */
     std::map<std::string, TimePoint> m_avoidUntil;
 };
--- a/modules/peers/tests/state_readers_test.cpp
+++ b/modules/peers/tests/state_readers_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(fewNodesReadForTheDomain);
     CPPUNIT_TEST(failedReaderIsReplacedAtOnce);
     CPPUNIT_TEST(nodeWithoutPeersCallsTheStore);
+    CPPUNIT_TEST(smallDomainHasNoReaders);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,6 +90,13 @@
         CPPUNIT_ASSERT(!readers.choose({}, kStart).has_value());
     }
 
+    // Guards against more calls than without readers, as a reader polls more often.
+    void smallDomainHasNoReaders()
+    {
+        StateReaders readers("self:1", 7);
+        CPPUNIT_ASSERT(!readers.choose({"a:1", "b:1", "c:1", "d:1", "e:1"}, kStart).has_value());
+    }
+
 private:
     static int follower()
     {
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -126,8 +126,14 @@
         std::exchange(m_retryTask, nullptr)();
     }
 
-    /** Changes the length of watches that start from now on. */
-    void setWatch(Duration length) { m_times.watch = length; }
+    /**
+     * Changes the length of watches that start from now on, and how late their answers may be.
+     */
+    void setWatch(Duration length, Duration overdueAfter)
+    {
+        m_times.watch = length;
+        m_times.overdueAfter = overdueAfter;
+    }
 
     /** @return true while calls fail or get no answer in time. */
     bool isFailing() const { return m_failures > 0; }
--- a/servers/state/state_relay.cpp
+++ b/servers/state/state_relay.cpp
@@ -20,6 +20,8 @@
 // Calls of one kind that are held at a time; a failure domain has fewer nodes.
 constexpr std::size_t kMaxHeldCalls = 1024;
 constexpr Duration kMaxWait = seconds(10);
+// Followers ask again within a second or two.
+constexpr Duration kFollowerTimeout = seconds(5);
 
 std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name)
 {
@@ -79,6 +81,11 @@
     answerHeld(changed);
 }
 
+bool StateRelay::hasFollowers() const
+{
+    return m_servedAt != TimePoint{} && m_loop.now() - m_servedAt < kFollowerTimeout;
+}
+
 void StateRelay::refuseHeld()
 {
     for (auto &it : m_states) {
@@ -112,6 +119,7 @@
         refuse(*call, kUnavailable);
         return nullptr;
     }
+    m_servedAt = call->arrivedAt;
     call->after = queryNumber(request.query, "after");
     const auto waitMs = queryNumber(request.query, "wait_ms").value_or(0);
     const Duration wait = std::min<Duration>(
--- a/servers/state/state_relay.h
+++ b/servers/state/state_relay.h
@@ -40,6 +40,9 @@
     /** Commits the staged objects and answers the held calls. Parameters as of StateLog. */
     void commit(StateKind kind, std::uint64_t revision, TimePoint confirmedAt);
 
+    /** @return true when other nodes have asked this one for state in the last seconds. */
+    bool hasFollowers() const;
+
     /** Refuses all held calls, as this node has lost contact with the store. */
     void refuseHeld();
 
@@ -82,6 +85,7 @@
     EventLoop &m_loop;
     Metrics &m_metrics;
     std::array<KindState, kStateKindNames.size()> m_states;
+    TimePoint m_servedAt{};
     bool m_stopping = false;
 };
 
