--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,10 @@
 	    ctest --test-dir build/$$it --output-on-failure || exit 1; \
 	done
 
-run: build
+# Builds only what the example needs.
+run: setup
+	@cmake -S . -B $(BUILD) -G Ninja >&2
+	@cmake --build $(BUILD) -j $(JOBS) --target hawthornslip standins bench_runner >&2
 	@tools/run_example.sh $(BUILD)
 
 bench: build
