--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -42,10 +42,10 @@
 public:
     void onList(const std::vector<FeedItem<int>> &list) override { items = list.size(); }
     void onChange(const FeedItem<int> &) override { ++changes; }
-    void onConfirmed(TimePoint at, std::uint64_t at_revision) override
+    void onConfirmed(TimePoint at, std::uint64_t atRevision) override
     {
         confirmed = at;
-        revision = at_revision;
+        revision = atRevision;
     }
     void onStoreRecovered() override { ++recoveries; }
 
