--- a/modules/balancing/tests/engine_estimates_test.cpp
+++ b/modules/balancing/tests/engine_estimates_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(promptWaitsOnlyForPromptsAtLeastAsUrgent);
     CPPUNIT_TEST(waitShrinksAsPromptsArePrefilled);
     CPPUNIT_TEST(prefillRateFollowsMeasurements);
+    CPPUNIT_TEST(peakRateIgnoresDelaysByOthers);
+    CPPUNIT_TEST(peakRateFollowsTheMeasuredOverhead);
     CPPUNIT_TEST(enginesAreSplitByPromptTokens);
     CPPUNIT_TEST(boundaryStaysForSmallChanges);
     CPPUNIT_TEST(sensitiveRequestsNeverTakeAllEngines);
@@ -54,6 +56,31 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(90'000, rate.tokensPerSecond(), 2'000);
     }
 
+    // Guards against engines that look slow because they are shared, so that every prompt seems to
+    // disturb every stream.
+    void peakRateIgnoresDelaysByOthers()
+    {
+        PrefillRateEstimator rate;
+        for (int i = 0; i < 200; ++i) {
+            rate.observeCached(500, milliseconds(50));
+            rate.observeCached(9'000, milliseconds(145));
+            rate.observeCached(9'000, milliseconds(900));
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(90'000, rate.peakTokensPerSecond(), 10'000);
+    }
+
+    // Guards against a fixed overhead that makes short prefills look many times faster than they
+    // are.
+    void peakRateFollowsTheMeasuredOverhead()
+    {
+        PrefillRateEstimator rate;
+        for (int i = 0; i < 100; ++i) {
+            rate.observeCached(500, milliseconds(5 + 10));
+            rate.observeCached(3'000, milliseconds(5 + 60));
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(50'000, rate.peakTokensPerSecond(), 5'000);
+    }
+
     void enginesAreSplitByPromptTokens()
     {
         EnginePartition partition;
