Log the bytes that nodes exchange, and requests dropped at a closing connection

No log told apart the hypotheses on requests that end without an answer: load reports passed on by few nodes, state passed on by readers, connections closed while a request arrives. The line peer_traffic gives each node's bytes by kind of message every five seconds, and closing_bytes_dropped each read at a connection that is being closed. No decision is changed.

--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -168,6 +168,7 @@
         return;
     }
     if (m_stage == Stage::Closing) {
+        logEvent(LogLevel::Info, "closing_bytes_dropped", {{"bytes", n}});
         waitReadable();
         return;
     }
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -1,5 +1,6 @@
 #include "servers/peers/load_exchange.h"
 
+#include "core/logger.h"
 #include "servers/peers/load_report_codec.h"
 
 #include <algorithm>
@@ -16,6 +17,10 @@
 constexpr Duration kSummaryTimeout = seconds(3);
 constexpr std::string_view kSummaryKeyPrefix = "domain ";
 constexpr Duration kAnnounceRetryDelay = milliseconds(700);
+constexpr Duration kTrafficLogInterval = seconds(5);
+constexpr std::string_view kLoadKind = "load";
+constexpr std::string_view kSummaryKind = "summary";
+constexpr std::string_view kForwardedKind = "forwarded_summary";
 
 } // namespace
 
@@ -90,7 +95,7 @@
     report.evidence =
             m_parts.evidence.evidenceForReport({m_plan.recipients.size(), m_peers.size() + 1});
     report.limits = m_parts.limits.limitsForReport();
-    send(report, m_plan.recipients, "load");
+    send(report, m_plan.recipients, kLoadKind);
 }
 
 void LoadExchange::summarize()
@@ -116,7 +121,7 @@
         m_heardNodesSentAt = now;
         report.heardNodes = livePeers(m_domain);
     }
-    send(report, m_plan.summaryRecipients, "summary");
+    send(report, m_plan.summaryRecipients, kSummaryKind);
 }
 
 void LoadExchange::send(const PeerReport &report, const std::vector<std::string> &recipients,
@@ -127,6 +132,7 @@
     const std::string bytes = encodeReport(report, m_parts.loop.now());
     for (const auto &it : recipients)
         m_parts.transport.send(NodeId(it), bytes);
+    m_sentBytes[kind] += recipients.size() * bytes.size();
     const auto sent = static_cast<double>(recipients.size());
     m_parts.metrics.count(metric::kPeerMessages, {{"direction", "sent"}, {"kind", kind}}, sent);
     m_parts.metrics.count(metric::kPeerBytes, {{"direction", "sent"}, {"kind", kind}},
@@ -135,6 +141,7 @@
 
 void LoadExchange::receive(const std::string &bytes)
 {
+    m_receivedBytes += bytes.size();
     auto report = decodeReport(bytes, m_parts.loop.now());
     const std::string_view result =
             !report ? "unreadable" : (report->isSummary ? "summary" : "load");
@@ -182,7 +189,7 @@
     }
     if (!report.isForwarded) {
         report.isForwarded = true;
-        send(report, m_plan.recipients, "forwarded_summary");
+        send(report, m_plan.recipients, kForwardedKind);
     }
     report.node = std::string(kSummaryKeyPrefix) + domain.value;
     m_loads.onReport(report, now);
@@ -194,8 +201,28 @@
     return it != m_summaryHeardAt.end() && m_parts.loop.now() - it->second < kSummaryTimeout;
 }
 
+void LoadExchange::logTraffic()
+{
+    const TimePoint now = m_parts.loop.now();
+    if (now - m_trafficLoggedAt < kTrafficLogInterval)
+        return;
+    const Duration span = now - std::exchange(m_trafficLoggedAt, now);
+    const std::size_t received = std::exchange(m_receivedBytes, 0);
+    if (span < 2 * kTrafficLogInterval && (received > 0 || !m_sentBytes.empty()))
+        logEvent(LogLevel::Info, "peer_traffic",
+                 {{"span_ms", toMillis(span)},
+                  {"load_bytes", m_sentBytes[kLoadKind]},
+                  {"summary_bytes", m_sentBytes[kSummaryKind]},
+                  {"forwarded_bytes", m_sentBytes[kForwardedKind]},
+                  {"received_bytes", received},
+                  {"recipients", m_plan.recipients.size()},
+                  {"summarizer", m_plan.isSummarizer}});
+    m_sentBytes.clear();
+}
+
 void LoadExchange::tick()
 {
+    logTraffic();
     m_loads.expire(m_parts.loop.now());
     m_domainLoads.expire(m_parts.loop.now());
     removeExpiredPeers();
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -14,6 +14,7 @@
 #include "servers/peers/peer_limits.h"
 #include "servers/state/feed_follower.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <random>
@@ -88,6 +89,8 @@
     void send(const PeerReport &report, const std::vector<std::string> &recipients,
               std::string_view kind);
     void scheduleReport();
+    /** Logs the bytes that were exchanged with other nodes since the last line. */
+    void logTraffic();
     void tick();
 
     LoadExchangeParts m_parts;
@@ -117,6 +120,10 @@
     TimePoint m_summarizedAt{};
     TimePoint m_heardNodesSentAt{};
     bool m_loadChangedSinceSummary = false;
+    /** Bytes sent since the last log line, by kind of message. */
+    std::map<std::string_view, std::size_t> m_sentBytes;
+    std::size_t m_receivedBytes = 0;
+    TimePoint m_trafficLoggedAt{};
 };
 
 } // namespace hawthornslip
