Exchange sums between failure domains again after a cut

Each domain sent its sum only to nodes of another one that it had heard in the last four seconds, and hears them only through the other one's sums. After a cut of that length between two domains both sides were silent for ever: the nodes of each placed requests as if the other one had none, until they were restarted.

--- a/modules/peers/report_plan.cpp
+++ b/modules/peers/report_plan.cpp
@@ -28,16 +28,30 @@
                               kIntervalPerRecipient * static_cast<std::int64_t>(recipients));
 }
 
+/** @return the nodes of another domain, @p nodes, that get a sum and pass it on. */
+std::vector<NodeId> recipientsOf(const std::vector<ReportPeer> &nodes, std::size_t round)
+{
+    std::vector<NodeId> heard;
+    for (const auto &it : nodes) {
+        if (it.silence < kRecipientSilence)
+            heard.emplace_back(it.address);
+    }
+    // After a cut, both sides would wait for the sum of the other one for ever.
+    if (heard.empty())
+        return {NodeId(nodes[round % nodes.size()].address)};
+    return rendezvousOrder(kSummarizerKey, heard, kRecipientsPerDomain);
+}
+
 } // namespace
 
 ReportPlan planReports(const std::string &self, const FailureDomain &domain,
-                       const std::vector<ReportPeer> &peers)
+                       const std::vector<ReportPeer> &peers, std::size_t round)
 {
     ReportPlan plan;
     std::vector<std::string> all;
     std::vector<std::string> own;
     std::vector<NodeId> candidates = {NodeId(self)};
-    std::map<std::string, std::vector<NodeId>> others;
+    std::map<std::string, std::vector<ReportPeer>> others;
     bool areDomainsKnown = !domain.value.empty();
     for (const auto &it : peers) {
         all.push_back(it.address);
@@ -46,8 +60,8 @@
             own.push_back(it.address);
             if (it.silence < kSummarizerSilence)
                 candidates.emplace_back(it.address);
-        } else if (it.silence < kRecipientSilence) {
-            others[it.domain.value].emplace_back(it.address);
+        } else {
+            others[it.domain.value].push_back(it);
         }
     }
     const Duration interval = intervalFor(own.size());
@@ -62,7 +76,7 @@
     plan.isSummarizer = rendezvousOwner(kSummarizerKey, candidates).value == self;
     if (plan.isSummarizer) {
         for (const auto &[name, nodes] : others) {
-            for (const auto &it : rendezvousOrder(kSummarizerKey, nodes, kRecipientsPerDomain))
+            for (const auto &it : recipientsOf(nodes, round))
                 plan.summaryRecipients.push_back(it.value);
         }
     }
--- a/modules/peers/report_plan.h
+++ b/modules/peers/report_plan.h
@@ -49,8 +49,9 @@
  * @param self this node's address.
  * @param domain this node's failure domain.
  * @param peers all other nodes.
+ * @param round number of the plan; selects the node of a silent domain that is tried.
  */
 ReportPlan planReports(const std::string &self, const FailureDomain &domain,
-                       const std::vector<ReportPeer> &peers);
+                       const std::vector<ReportPeer> &peers, std::size_t round = 0);
 
 } // namespace hawthornslip
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -67,7 +67,7 @@
     const TimePoint now = m_parts.loop.now();
     for (const auto &[address, heardAt] : m_peers.lastHeard())
         peers.push_back({address, domainOf(address), now - heardAt});
-    m_plan = planReports(m_address, m_domain, peers);
+    m_plan = planReports(m_address, m_domain, peers, m_planRound++);
 }
 
 FailureDomain LoadExchange::domainOf(const std::string &address) const
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -106,6 +106,7 @@
     ReportFilter m_summaryFilter;
     PeerList m_peers;
     ReportPlan m_plan;
+    std::size_t m_planRound = 0;
     /** Time of the last summary, by failure domain. */
     std::map<FailureDomain, TimePoint> m_summaryHeardAt;
     /** Failure domains of the peers, by address. */
--- a/tests/servers/peers/load_exchange_test.cpp
+++ b/tests/servers/peers/load_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -40,6 +41,8 @@
     std::set<std::string> silent;
     std::map<std::string, ExchangeNode *> byAddress;
     double bytesBetweenDomains = 0;
+    /** No message passes between failure domains. */
+    bool areDomainsCut = false;
 };
 
 class ExchangeNode : public PeerTransport,
@@ -66,6 +69,8 @@
         if (m_cluster.silent.contains(self.address) || m_cluster.silent.contains(to.value))
             return;
         ExchangeNode *node = m_cluster.byAddress.at(to.value);
+        if (node->self.domain != self.domain && m_cluster.areDomainsCut)
+            return;
         if (node->self.domain != self.domain)
             m_cluster.bytesBetweenDomains += static_cast<double>(bytes.size());
         m_cluster.loop.after(kLatency, [node, bytes] { node->m_receiver(bytes); });
@@ -141,6 +146,7 @@
     CPPUNIT_TEST(loadReachesAllNodesOnce);
     CPPUNIT_TEST(trafficBetweenDomainsDoesNotGrowWithTheSquare);
     CPPUNIT_TEST(lostSummarizersAreReplaced);
+    CPPUNIT_TEST(domainsExchangeSumsAgainAfterACut);
     CPPUNIT_TEST(silentNodeIsSubtractedOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -194,6 +200,20 @@
         CPPUNIT_ASSERT_EQUAL(left, right);
     }
 
+    // Guards against domains that each wait to hear the other one before they send a sum.
+    void domainsExchangeSumsAgainAfterACut()
+    {
+        ExchangeCluster cluster(84, 4);
+        for (std::size_t i = 0; i < 84; ++i)
+            cluster.setRunning(i, 1);
+        cluster.areDomainsCut = true;
+        cluster.loop.advance(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{20}, cluster.knownAt(0));
+        cluster.areDomainsCut = false;
+        cluster.loop.advance(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{84}, cluster.knowing(84));
+    }
+
     void silentNodeIsSubtractedOnce()
     {
         ExchangeCluster cluster(195, 5);
