Pass sums of failure domains on through trees of bounded fan-out

Cause: two nodes of each failure domain passed each sum of the other domains on to all nodes of their own, four times a second; the order that chose them was the same for all source domains. Traffic of one node grew with domains x nodes x upstreams and filled its link (10 Mbit/s): new connections of that node timed out, and it was taken for silent, so that the next one got its part.

Each sum now goes in two copies through trees in which a node sends a copy to three others at most. Rendezvous hashing gives each source domain another order; the second copy takes the reverse order, so that one lost node costs nobody both copies. A node passes each copy on once; the one that gets it from the other domain hands it to the root if that is another. heard_nodes names the nodes that are in the tree.

In the mixed state of an update an old node that is handed an unforwarded sum passes it on as before.

--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -5,6 +5,7 @@
 #include "modules/limits/named_limits.h"
 #include "modules/quarantine/crash_evidence.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -23,6 +24,8 @@
     bool isSummary = false;
     /** A summary that another node has passed on. */
     bool isForwarded = false;
+    /** Number of the summary's copy, which decides on its way within a failure domain. */
+    std::size_t copy = 0;
     /** Nodes of the failure domain that the sender of a summary has heard recently. */
     std::vector<std::string> heardNodes;
     /** Random incarnation number, new with each start of the process. */
--- a/modules/peers/report_plan.cpp
+++ b/modules/peers/report_plan.cpp
@@ -19,8 +19,6 @@
 // As in the list of peers.
 constexpr Duration kRecipientSilence = seconds(4);
 constexpr std::string_view kSummarizerKey = "summarizer";
-// A second one passes the sum on when the first one is lost.
-constexpr std::size_t kRecipientsPerDomain = 2;
 
 Duration intervalFor(std::size_t recipients)
 {
@@ -28,18 +26,19 @@
                               kIntervalPerRecipient * static_cast<std::int64_t>(recipients));
 }
 
-/** @return the nodes of another domain, @p nodes, that get a sum and pass it on. */
-std::vector<NodeId> recipientsOf(const std::vector<ReportPeer> &nodes, std::size_t round)
+/** @return the node of another domain, @p nodes, that gets copy @p copy of the sum of @p source. */
+std::string entryOf(const FailureDomain &source, std::size_t copy,
+                    const std::vector<ReportPeer> &nodes, std::size_t round)
 {
     std::vector<NodeId> heard;
     for (const auto &it : nodes) {
         if (it.silence < kRecipientSilence)
             heard.emplace_back(it.address);
     }
+    if (!heard.empty())
+        return SumTree(source, copy, heard).root()->value;
     // After a cut, both sides would wait for the sum of the other one for ever.
-    if (heard.empty())
-        return {NodeId(nodes[round % nodes.size()].address)};
-    return rendezvousOrder(kSummarizerKey, heard, kRecipientsPerDomain);
+    return nodes[(round + copy) % nodes.size()].address;
 }
 
 } // namespace
@@ -74,10 +73,11 @@
     plan.interval = interval;
     plan.recipients = std::move(own);
     plan.isSummarizer = rendezvousOwner(kSummarizerKey, candidates).value == self;
+    plan.domainNodes = std::move(candidates);
     if (plan.isSummarizer) {
         for (const auto &[name, nodes] : others) {
-            for (const auto &it : recipientsOf(nodes, round))
-                plan.summaryRecipients.push_back(it.value);
+            for (std::size_t i = 0; i < kSumCopies; ++i)
+                plan.summaryRecipients[i].push_back(entryOf(domain, i, nodes, round));
         }
     }
     return plan;
--- a/modules/peers/report_plan.h
+++ b/modules/peers/report_plan.h
@@ -2,7 +2,9 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "modules/peers/sum_tree.h"
 
+#include <array>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -30,8 +32,10 @@
     bool usesSummaries = false;
     /** This node sends the sum of its failure domain. */
     bool isSummarizer = false;
-    /** Nodes of other failure domains that get the sum and pass it on within their domain. */
-    std::vector<std::string> summaryRecipients;
+    /** Nodes of other failure domains that get each copy of the sum and pass it on. */
+    std::array<std::vector<std::string>, kSumCopies> summaryRecipients;
+    /** This node and those of its failure domain that are heard; empty without summaries. */
+    std::vector<NodeId> domainNodes;
 };
 
 /** Time between two summaries of a failure domain. */
@@ -43,8 +47,8 @@
  * With few nodes each one reports to all others. The interval between reports grows with the
  * number of recipients, and the traffic between failure domains with its square. As soon as a sum
  * for each domain, in two steps, is fresher than reports of all nodes to all others, nodes report
- * within their domain only, and one of them, chosen by rendezvous hashing, sends the sum to two
- * nodes of each other domain.
+ * within their domain only, and one of them, chosen by rendezvous hashing, sends two copies of the
+ * sum to each other domain, whose nodes pass them on as SumTree says.
  *
  * @param self this node's address.
  * @param domain this node's failure domain.
--- a/modules/peers/tests/report_plan_test.cpp
+++ b/modules/peers/tests/report_plan_test.cpp
@@ -66,11 +66,9 @@
         std::size_t summarizers = 0;
         for (std::size_t i = 0; i < 195; ++i) {
             const auto plan = planOf(i, 195, 5);
-            CPPUNIT_ASSERT_EQUAL(plan.isSummarizer, !plan.summaryRecipients.empty());
-            if (!plan.isSummarizer)
-                continue;
-            ++summarizers;
-            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, plan.summaryRecipients.size());
+            for (const auto &it : plan.summaryRecipients)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{plan.isSummarizer ? 4U : 0U}, it.size());
+            summarizers += plan.isSummarizer ? 1 : 0;
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, summarizers);
     }
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -119,9 +119,13 @@
     report.limits = m_parts.limits.limitsForSummary();
     if (now - m_heardNodesSentAt >= kIdleReportInterval) {
         m_heardNodesSentAt = now;
-        report.heardNodes = livePeers(m_domain);
+        for (const auto &it : m_plan.domainNodes)
+            report.heardNodes.push_back(it.value);
+    }
+    for (std::size_t i = 0; i < kSumCopies; ++i) {
+        report.copy = i;
+        send(report, m_plan.summaryRecipients[i], kSummaryKind);
     }
-    send(report, m_plan.summaryRecipients, kSummaryKind);
 }
 
 void LoadExchange::send(const PeerReport &report, const std::vector<std::string> &recipients,
@@ -187,14 +191,25 @@
         if (of == domain)
             m_loads.forget(address);
     }
-    if (!report.isForwarded) {
-        report.isForwarded = true;
-        send(report, m_plan.recipients, kForwardedKind);
-    }
+    forward(report);
     report.node = std::string(kSummaryKeyPrefix) + domain.value;
     m_loads.onReport(report, now);
 }
 
+void LoadExchange::forward(PeerReport report)
+{
+    const FailureDomain source(report.domain);
+    if (!m_forwardedSums.isNew(source, report.copy, report.boot, report.sequence))
+        return;
+    const SumTree tree(source, report.copy, m_plan.domainNodes);
+    auto recipients = tree.childrenOf(NodeId(m_address));
+    // The other domain's view of who is heard is older than this one's.
+    const bool isEntry = !std::exchange(report.isForwarded, true);
+    if (isEntry && tree.root() != nullptr && tree.root()->value != m_address)
+        recipients.push_back(tree.root()->value);
+    send(report, recipients, kForwardedKind);
+}
+
 bool LoadExchange::isSummarized(const FailureDomain &domain) const
 {
     const auto it = m_summaryHeardAt.find(domain);
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -10,6 +10,7 @@
 #include "modules/peers/peer_loads.h"
 #include "modules/peers/report_filter.h"
 #include "modules/peers/report_plan.h"
+#include "modules/peers/sum_tree.h"
 #include "servers/peers/peer_evidence.h"
 #include "servers/peers/peer_limits.h"
 #include "servers/state/feed_follower.h"
@@ -79,6 +80,8 @@
     void receive(const std::string &bytes);
     void onNodeReport(const PeerReport &report);
     void onSummary(PeerReport report);
+    /** Passes a summary of another failure domain on within this one. */
+    void forward(PeerReport report);
     bool isSummarized(const FailureDomain &domain) const;
     FailureDomain domainOf(const std::string &address) const;
     void updatePlan();
@@ -107,6 +110,7 @@
     PeerList m_peers;
     ReportPlan m_plan;
     std::size_t m_planRound = 0;
+    SumHistory m_forwardedSums;
     /** Time of the last summary, by failure domain. */
     std::map<FailureDomain, TimePoint> m_summaryHeardAt;
     /** Failure domains of the peers, by address. */
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -82,6 +82,7 @@
     message.set_domain(report.domain);
     message.set_summary(report.isSummary);
     message.set_forwarded(report.isForwarded);
+    message.set_copy(static_cast<std::uint32_t>(report.copy));
     for (const auto &it : report.heardNodes)
         message.add_heard_nodes(it);
     for (const auto &it : report.loads) {
@@ -127,6 +128,7 @@
     report.domain = message.domain();
     report.isSummary = message.summary();
     report.isForwarded = message.forwarded();
+    report.copy = message.copy();
     report.heardNodes.assign(message.heard_nodes().begin(), message.heard_nodes().end());
     for (const auto &it : message.loads()) {
         NodeLoad load{it.upstream(), it.running(), it.sensitive(), {}};
--- a/tests/servers/peers/load_exchange_test.cpp
+++ b/tests/servers/peers/load_exchange_test.cpp
@@ -58,6 +58,8 @@
                   {cluster.loop, *this, *this, cluster.metrics, *this, *this}, entry,
                   [this](PeerReport &report) {
                       report.loads = {{kUpstream, running, 0, {}}};
+                      for (std::uint64_t i = 0; i < busyUpstreams; ++i)
+                          report.loads.push_back({firstBusyUpstream + i, ++changes, 0, {changes}});
                   },
                   *this, seed)
         , m_cluster(cluster)
@@ -68,6 +70,7 @@
     {
         if (m_cluster.silent.contains(self.address) || m_cluster.silent.contains(to.value))
             return;
+        sentBytes += bytes.size();
         ExchangeNode *node = m_cluster.byAddress.at(to.value);
         if (node->self.domain != self.domain && m_cluster.areDomainsCut)
             return;
@@ -89,6 +92,11 @@
 
     NodeEntry self;
     std::uint32_t running = 0;
+    /** Further upstreams, whose load changes with each report. */
+    std::uint64_t busyUpstreams = 0;
+    std::uint64_t firstBusyUpstream = kUpstream + 1;
+    std::uint32_t changes = 0;
+    std::size_t sentBytes = 0;
     std::int64_t peersRunning = 0;
     LoadExchange exchange;
 
@@ -145,6 +153,7 @@
     CPPUNIT_TEST_SUITE(LoadExchangeTest);
     CPPUNIT_TEST(loadReachesAllNodesOnce);
     CPPUNIT_TEST(trafficBetweenDomainsDoesNotGrowWithTheSquare);
+    CPPUNIT_TEST(sumsDoNotFillTheLinkOfOneNode);
     CPPUNIT_TEST(lostSummarizersAreReplaced);
     CPPUNIT_TEST(domainsExchangeSumsAgainAfterACut);
     CPPUNIT_TEST(silentNodeIsSubtractedOnce);
@@ -179,6 +188,31 @@
         CPPUNIT_ASSERT_MESSAGE(fmt::format("{:.0f} and {:.0f} bytes", few, many), many <= 3 * few);
     }
 
+    // Guards against a node whose link is full of the sums that it passes on to its whole domain.
+    void sumsDoNotFillTheLinkOfOneNode()
+    {
+        ExchangeCluster cluster(84, 4);
+        // The nodes of a domain together use each of 126 upstreams.
+        for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+            cluster.nodes[i]->busyUpstreams = 6;
+            cluster.nodes[i]->firstBusyUpstream += i / 4 * 6;
+        }
+        for (const auto &it : cluster.nodes)
+            it->sentBytes = 0;
+        constexpr int kSeconds = 5;
+        for (int i = 0; i < kSeconds * 4; ++i) {
+            for (const auto &it : cluster.nodes)
+                it->exchange.onLoadChanged();
+            cluster.loop.advance(kSummaryInterval);
+        }
+        std::size_t most = 0;
+        for (const auto &it : cluster.nodes)
+            most = std::max(most, it->sentBytes);
+        constexpr std::size_t kMaxBytesPerSecond = 150'000;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes a second", most / kSeconds),
+                               most / kSeconds <= kMaxBytesPerSecond);
+    }
+
     // Guards against sums that stop, or count double, when the nodes that send or pass them on are
     // lost.
     void lostSummarizersAreReplaced()
