--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(feedDistinguishesErrors);
     CPPUNIT_TEST(feedReadsEraFromEachAnswer);
     CPPUNIT_TEST(feedIgnoresMalformedEra);
+    CPPUNIT_TEST(onlyTheFirstListMayBeStale);
     CPPUNIT_TEST(registryTreatsConflictAsSuccess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -263,6 +264,19 @@
         CPPUNIT_ASSERT(!watchAnswered(200, {}).era);
     }
 
+    // Guards against a node that takes its entry of before a restore for a present one.
+    void onlyTheFirstListMayBeStale()
+    {
+        ScriptedStore store;
+        const auto feed = makeNodeFeed(store, "10.0.0.2:90");
+        for (int i = 0; i < 2; ++i) {
+            store.answers.push_back({UpstreamResult::Complete, 200, R"({"entries":[],"as_of":3})"});
+            feed->list("", [](const auto &) {});
+        }
+        CPPUNIT_ASSERT(store.requests[0].url.find("stale_ok=1") != std::string::npos);
+        CPPUNIT_ASSERT(store.requests[1].url.find("stale_ok") == std::string::npos);
+    }
+
     void registryTreatsConflictAsSuccess()
     {
         for (const auto &[status, expected] :
