--- a/servers/state/router_state.h
+++ b/servers/state/router_state.h
@@ -43,7 +43,9 @@
         {}
         void onList(const std::vector<FeedItem<RoutingConfig>> &items) override;
         void onChange(const FeedItem<RoutingConfig> &item) override;
-        void onConfirmed(TimePoint at, std::uint64_t) override { m_state.m_config.confirm(at); }
+        void onConfirmed(TimePoint at, StatePosition) override { m_state.m_config.confirm(at); }
+        bool isOutdated(const FeedItem<RoutingConfig> &item) const override;
+        bool isStoreBehind() const override { return m_state.m_config.isStoreBehind(); }
 
     private:
         RouterState &m_state;
@@ -57,11 +59,14 @@
         {}
         void onList(const std::vector<FeedItem<UpstreamEntry>> &items) override;
         void onChange(const FeedItem<UpstreamEntry> &item) override;
-        void onConfirmed(TimePoint, std::uint64_t) override {}
+        void onConfirmed(TimePoint, StatePosition) override {}
         void onStoreRecovered() override;
+        void onStoreRestored() override { m_isRestored = true; }
 
     private:
         RouterState &m_state;
+        /** The next list is the first one after a restart of the store from an older copy. */
+        bool m_isRestored = false;
     };
 
     void applyConfig(const FeedItem<RoutingConfig> &item);
--- a/servers/state/state_relay.cpp
+++ b/servers/state/state_relay.cpp
@@ -20,6 +20,8 @@
 // Calls of one kind that are held at a time; a failure domain has fewer nodes.
 constexpr std::size_t kMaxHeldCalls = 1024;
 constexpr Duration kMaxWait = seconds(10);
+// Longest age that a reply can carry.
+constexpr Duration kMaxAge = seconds(3600);
 // Followers ask again within a second or two.
 constexpr Duration kFollowerTimeout = seconds(5);
 
@@ -74,10 +76,10 @@
     state(kind).isServing = std::move(isServing);
 }
 
-void StateRelay::commit(StateKind kind, std::uint64_t revision, TimePoint confirmedAt)
+void StateRelay::commit(StateKind kind, StatePosition position, TimePoint confirmedAt)
 {
     KindState &changed = state(kind);
-    changed.log.commit(revision, confirmedAt);
+    changed.log.commit(position, confirmedAt);
     answerHeld(changed);
 }
 
@@ -120,7 +122,10 @@
         return nullptr;
     }
     m_servedAt = call->arrivedAt;
-    call->after = queryNumber(request.query, "after");
+    if (const auto after = queryNumber(request.query, "after")) {
+        const auto era = queryNumber(request.query, "era");
+        call->after = StatePosition{era.value_or(asked.log.era()), *after};
+    }
     const auto waitMs = queryNumber(request.query, "wait_ms").value_or(0);
     const Duration wait = std::min<Duration>(
             milliseconds(std::min<std::uint64_t>(waitMs, toMillis(kMaxWait))), kMaxWait);
@@ -158,7 +163,8 @@
     const TimePoint now = m_loop.now();
     StateReply answer;
     answer.changes = state.log.since(call.after);
-    answer.age = std::max(Duration(0), now - state.log.confirmedAt());
+    answer.age = std::clamp<Duration>(now - state.log.confirmedAt(), Duration(0), kMaxAge);
+    answer.isStoreBehind = state.isStoreBehind;
     answer.held = now - call.arrivedAt;
     const std::string body = encodeState(answer);
     call.writer->begin(kOk, {{"Content-Type", "application/x-protobuf"}}, body.size());
