--- a/tests/platform/odd_objects_test.cpp
+++ b/tests/platform/odd_objects_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <vector>
 
@@ -94,6 +95,32 @@
     return specs;
 }
 
+const std::vector<std::string> &wrongSpecs()
+{
+    static const std::vector<std::string> specs = {
+            specWith("slots", "-1"),
+            specWith("slots", "4294967296"),
+            specWith("slots", "99999999999999999999"),
+            specWith("slots", "1e30"),
+            specWith("slots", "-1e30"),
+            specWith("slots", "\"4\""),
+            specWith("slots", "null"),
+            specWith("address", "\"10.0.0.9:65536\""),
+            specWith("address", "\"10.0.0.9:0\""),
+            specWith("address", "\"10.0.0.9:-1\""),
+            specWith("address", "\"10.0.0.9:80x\""),
+            specWith("address", "\"10.0.0.9:99999999999\""),
+            specWith("address", "\"10.0.0.9\""),
+            specWith("address", "\"10.0.0.9:\""),
+            specWith("address", "\":80\""),
+            specWith("address", "\"\""),
+            specWith("address", "\"0.0.0.0:80\""),
+            specWith("address", "\"10.0.0.9/x:80\""),
+            specWith("address", "80"),
+    };
+    return specs;
+}
+
 /** @return the names of the usable upstreams of a list and of a watch; they have to agree. */
 std::string usableNames(const std::string &odd, bool isWatch)
 {
@@ -127,6 +154,8 @@
     CPPUNIT_TEST(unreadableSpecDoesNotHideTheOthers);
     CPPUNIT_TEST(oddEnvelopeDoesNotHideTheOthers);
     CPPUNIT_TEST(unreadableObjectInAReplyDoesNotHideTheOthers);
+    CPPUNIT_TEST(wrongValueNamesNoUpstream);
+    CPPUNIT_TEST(configurationWithNumbersOutOfRangeIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +212,41 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(spec.substr(0, 160), std::string("i-1 i-3 "), names);
         }
     }
+
+    // Guards against requests to an address or a capacity that nobody wrote.
+    void wrongValueNamesNoUpstream()
+    {
+        for (const auto &spec : wrongSpecs())
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(spec, std::string("i-1 i-3 "),
+                                         usableNames(objectWith("\"i-2\"", spec), false));
+        const auto object = nlohmann::json::parse(specWith("", ""));
+        CPPUNIT_ASSERT(decodeUpstream("i-2", object).value);
+        CPPUNIT_ASSERT(decodeNode("n", object).value);
+        CPPUNIT_ASSERT(!decodeNode("n", {{"address", "10.0.0.9:65536"}}).value);
+        // The name becomes the value of a header.
+        CPPUNIT_ASSERT(!decodeUpstream("a\r\nb: c", object).value);
+    }
+
+    // Guards against numbers that turn into others, such as a timeout before the request.
+    void configurationWithNumbersOutOfRangeIsRejected()
+    {
+        const std::string config = R"({"version":7,"routes":[{"host":"a","path_prefix":"/x/",
+"route_kind":"idempotent","service":"s","timeout_ms":@T,"max_attempts":@A,"priority":@P}],
+"services":[{"name":"s","max_conns":@C}],"limits":{"max_header_bytes":@H}})";
+        const std::vector<std::string> marks = {"@T", "@A", "@P", "@C", "@H"};
+        const auto decode = [&](const std::string &odd, const std::string &value) {
+            std::string text = config;
+            for (const auto &it : marks)
+                text.replace(text.find(it), it.size(), it == odd ? value : "2");
+            return decodeConfig("main", nlohmann::json::parse(text)).value.has_value();
+        };
+        CPPUNIT_ASSERT(decode("", ""));
+        for (const auto &mark : marks) {
+            for (const std::string value :
+                 {"-9223372036854775808", "1e300", "18446744073709551615"})
+                CPPUNIT_ASSERT_MESSAGE(mark + value, !decode(mark, value));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddObjectsTest);
