--- a/tests/platform/odd_objects_test.cpp
+++ b/tests/platform/odd_objects_test.cpp
@@ -22,15 +22,18 @@
         : m_body(std::move(body))
     {}
 
-    std::shared_ptr<UpstreamCall> send(UpstreamRequest,
+    std::shared_ptr<UpstreamCall> send(UpstreamRequest request,
                                        std::shared_ptr<UpstreamHandler> handler) override
     {
+        lastUrl = request.url;
         handler->onHeaders(200, {});
         handler->onData(m_body);
         handler->onEnd({UpstreamResult::Complete, 200, "", false});
         return nullptr;
     }
 
+    std::string lastUrl;
+
 private:
     std::string m_body;
 };
@@ -155,6 +158,7 @@
     CPPUNIT_TEST(oddEnvelopeDoesNotHideTheOthers);
     CPPUNIT_TEST(unreadableObjectInAReplyDoesNotHideTheOthers);
     CPPUNIT_TEST(wrongValueNamesNoUpstream);
+    CPPUNIT_TEST(oddNameIsNoPartOfARequest);
     CPPUNIT_TEST(configurationWithNumbersOutOfRangeIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -227,6 +231,16 @@
         CPPUNIT_ASSERT(!decodeUpstream("a\r\nb: c", object).value);
     }
 
+    // Guards against a name that ends the request line or adds a parameter to the query.
+    void oddNameIsNoPartOfARequest()
+    {
+        OnePageStore store(R"({"entries":[],"as_of":530})");
+        makeUpstreamFeed(store, "10.0.0.2:90")->list("a b&watch=1\r\nc", [](const auto &) {});
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("http://10.0.0.2:90/objects/servers?after=a%20b%26watch%3D1%0D%0Ac"),
+                store.lastUrl);
+    }
+
     // Guards against numbers that turn into others, such as a timeout before the request.
     void configurationWithNumbersOutOfRangeIsRejected()
     {
