Take no success for a proof that nothing ran

A success with the header that says "not run" contradicts itself, but was taken for a refusal: a request that must not be repeated went on to a second upstream, or its caller was told to try again.

Cause: the header alone counted, whatever the status.

--- a/tests/platform/wire_headers_test.cpp
+++ b/tests/platform/wire_headers_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(readsTheLimitOfRequests);
     CPPUNIT_TEST(ofTwoLimitsTheLowerCounts);
     CPPUNIT_TEST(unreadableLimitsAreNone);
+    CPPUNIT_TEST(onlyARefusalProvesThatNothingRan);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +36,19 @@
         }
     }
 
+    // Guards against a second run of a request whose success says that it did not run.
+    void onlyARefusalProvesThatNothingRan()
+    {
+        const HttpHeaders notRun = {{"x-hawthornslip-not-executed", "1"}};
+        const platform::WireHeaders dialect;
+        for (const int status : {400, 421, 429, 503})
+            CPPUNIT_ASSERT(dialect.readResponse(status, notRun).certainlyNotRun);
+        for (const int status : {200, 206})
+            CPPUNIT_ASSERT(!dialect.readResponse(status, notRun).certainlyNotRun);
+        for (const int status : {200, 408, 429, 500, 503, 504})
+            CPPUNIT_ASSERT(!dialect.readResponse(status, {}).certainlyNotRun);
+    }
+
 private:
     static ResponseMeta read(const std::vector<std::string> &limits)
     {
