Trust no answer without its id on a reused connection

Callers were told "not run, try again" for requests that ran, and such a request could run at a second upstream: an upstream wrote an earlier refusal once more, without the id that names its request, while the connection served the next one.

Cause: an answer with another request's id was skipped, but one without any id counted as the answer of the current request, at any time and even before that request was written.

On a reused connection an answer without the id now ends the call as broken: the request may have run, so one that must not be repeated is answered 502 and not sent again. On a new connection there is no earlier answer to copy; it is taken, but the connection is not used again.

The peer of clientNeverSendsTwice and the refusals of the soak's worker left the id out, which upstreams do not; they send it now, and what is checked has not changed.

--- a/core/interfaces/upstream_client.h
+++ b/core/interfaces/upstream_client.h
@@ -31,8 +31,9 @@
      */
     bool sendOnce = false;
     /**
-     * Lower-case name and value of a correlation header that every response echoes. A complete
-     * response with another value belongs to an earlier request on the connection and is discarded.
+     * Lower-case name and value of a correlation header that every response echoes. A response with
+     * another value belongs to an earlier request on the connection and is discarded. One without
+     * it ends the call as broken, unless it is the first on its connection.
      */
     std::string tagHeader;
     std::string tag;
--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -48,6 +48,7 @@
     m_paused = false;
     m_written = 0;
     m_discardedBytes = 0;
+    m_isNamed = true;
     resetParser();
     buildMessage(target);
     armTimers();
@@ -247,6 +248,11 @@
             resetParser();
         return n > 0 && !m_in.empty();
     }
+    if (!m_headDelivered && m_isReused && !isNamedAnswer()) {
+        // It may as well be a second copy of an earlier answer.
+        finish(UpstreamResult::Broken, "an answer that names no request");
+        return false;
+    }
     if (!deliverHead() || !deliverBody())
         return false;
     if (m_parser->is_done()) {
@@ -272,6 +278,7 @@
     m_headDelivered = true;
     m_closing = m_closing || !m_parser->keep_alive();
     noteKeepAlive();
+    m_isNamed = isNamedAnswer();
     const auto handler = m_handler;
     handler->onHeaders(m_parser->status, m_parser->headers);
     return m_handler != nullptr;
@@ -298,7 +305,8 @@
 
 void UpstreamConnection::onAnswerDone()
 {
-    const bool reusable = !m_closing && m_in.empty() && m_written == m_out.size();
+    // If an answer does not name its request, a second copy could not be told from the next answer.
+    const bool reusable = !m_closing && m_isNamed && m_in.empty() && m_written == m_out.size();
     if (!m_in.empty())
         logEvent(LogLevel::Info, "extra_bytes_dropped",
                  {{"upstream", m_address}, {"bytes", m_in.size()}});
@@ -311,6 +319,7 @@
     const auto handler = std::exchange(m_handler, nullptr);
     const int status = m_parser->status;
     m_out.clear();
+    m_isReused = true;
     m_request = UpstreamRequest{};
     m_idleSince = m_client.m_loop.now();
     m_usableUntil = m_keepAlive == Duration::max() ? TimePoint::max() : m_idleSince + m_keepAlive;
@@ -357,6 +366,11 @@
     return tag != nullptr && *tag != m_request.tag;
 }
 
+bool UpstreamConnection::isNamedAnswer() const
+{
+    return m_request.tag.empty() || findHeader(m_parser->headers, m_request.tagHeader) != nullptr;
+}
+
 void UpstreamConnection::resetParser()
 {
     m_headDelivered = false;
--- a/drivers/asio/upstream_connection.h
+++ b/drivers/asio/upstream_connection.h
@@ -52,6 +52,8 @@
     void onPeerClosed(bool clean);
     void noteKeepAlive();
     bool isForeignAnswer() const;
+    /** @return true when the answer names a request, or the current request has no tag. */
+    bool isNamedAnswer() const;
     void resetParser();
     void finish(UpstreamResult result, std::string message);
     void shut();
@@ -77,6 +79,10 @@
     bool m_headDelivered = false;
     bool m_closing = false;
     bool m_endedByClose = false;
+    /** An earlier call was answered on this connection. */
+    bool m_isReused = false;
+    /** The answer names its request, where the request has a tag. */
+    bool m_isNamed = true;
     /** Bytes of the current call that were no part of its answer. */
     std::size_t m_discardedBytes = 0;
 
--- a/tests/drivers/asio/loopback_test.cpp
+++ b/tests/drivers/asio/loopback_test.cpp
@@ -186,7 +186,7 @@
         auto handler = sendToPeer("1");
         auto &peer = acceptPeer();
         peer.expect("\r\n\r\n");
-        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
         runUntil(*m_loop, [&] { return handler->ended; });
         handler = sendToPeer("2");
         runUntil(*m_loop, [&] { return peer.received.find("id: 2") != std::string::npos; });
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST_SUITE(MisbehavingPeerTest);
     CPPUNIT_TEST(surplusAnswerOfEarlierRequestIsSkippedAnywhere);
     CPPUNIT_TEST(surplusAnswerOnIdleConnectionClosesIt);
+    CPPUNIT_TEST(refusalThatNamesNoRequestIsNoAnswerOnAReusedConnection);
+    CPPUNIT_TEST(answerThatNamesNoRequestEndsTheUseOfItsConnection);
     CPPUNIT_TEST(endlessBytesEndTheCall);
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
     CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
@@ -72,6 +74,40 @@
         CPPUNIT_ASSERT(!next->ended);
     }
 
+    // Guards against "not run" for a request that runs: an earlier refusal comes once more without
+    // its id, before the request is written in full or after it.
+    void refusalThatNamesNoRequestIsNoAnswerOnAReusedConnection()
+    {
+        const std::string own = "HTTP/1.1 503 Full\r\nid: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string copy = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+        for (const bool isWritten : {false, true}) {
+            auto handler = sendToPeer("1");
+            auto &peer = acceptPeer();
+            peer.expect("id: 1");
+            peer.send(own);
+            runUntil(*m_loop, [&] { return handler->ended; });
+            handler = sendToPeer("2", isWritten ? "" : std::string(32 * kMegabyte, 'x'));
+            peer.expect("id: 2");
+            peer.send(copy);
+            runUntil(*m_loop, [&] { return handler->ended; });
+            CPPUNIT_ASSERT(handler->end.result == UpstreamResult::Broken);
+            CPPUNIT_ASSERT_EQUAL(0, handler->status);
+            peer.expectClosed();
+        }
+    }
+
+    void answerThatNamesNoRequestEndsTheUseOfItsConnection()
+    {
+        const auto handler = sendToPeer("1");
+        auto &peer = acceptPeer();
+        peer.expect("id: 1");
+        peer.send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+        runUntil(*m_loop, [&] { return handler->ended; });
+        CPPUNIT_ASSERT_EQUAL(503, handler->status);
+        CPPUNIT_ASSERT(!handler->end.closing);
+        peer.expectClosed();
+    }
+
     // Guards against memory and time spent on an upstream that sends bytes without end which are no
     // answer, until the request's own time limit.
     void endlessBytesEndTheCall()
--- a/tests/soak/worker_standin.cpp
+++ b/tests/soak/worker_standin.cpp
@@ -131,7 +131,8 @@
     const std::string id = headerOf(request, "x-hawthornslip-attempt-id");
     const bool isOther = headerOf(request, "x-hawthornslip-expect-instance") != m_id;
     if (isOther || now < m_fullUntil) {
-        writer->begin(isOther ? 421 : 503, {{"X-Hawthornslip-Not-Executed", "1"}}, 0);
+        writer->begin(isOther ? 421 : 503,
+                      {{"X-Hawthornslip-Attempt-Id", id}, {"X-Hawthornslip-Not-Executed", "1"}}, 0);
         writer->end();
         return nullptr;
     }
--- a/tests/support/asio_loopback.h
+++ b/tests/support/asio_loopback.h
@@ -190,7 +190,8 @@
         return *m_peers.back();
     }
 
-    std::shared_ptr<RecordingHandler> sendToPeer(const std::string &id)
+    std::shared_ptr<RecordingHandler> sendToPeer(const std::string &id,
+                                                 const std::string &body = "")
     {
         auto handler = std::make_shared<RecordingHandler>();
         UpstreamRequest request;
@@ -199,6 +200,7 @@
         request.headers = {{"Host", "x"}, {"id", id}};
         request.tagHeader = "id";
         request.tag = id;
+        request.body = body;
         m_client->send(request, handler);
         return handler;
     }
