Send no request where its answer cannot be told from others

Two ways were left in which a request met an answer that was not its own. A request that was sent once more under its id over the same connection could be answered by a second copy of its refusal. And bytes, or the end of the connection, that had arrived while it was idle, but that the loop had not seen, cost the next request: it was sent all the same and ended as broken.

A kept connection is used only if the request before had another id and nothing waits to be read on it; otherwise it is closed and another one serves the request.

repeatedRequestDoesNotReuseItsConnection and bytesOnAnIdleConnectionKeepItFromBeingUsed failed on the code before (the request went over the old connection) and pass now.

--- a/drivers/asio/asio_upstream_client.cpp
+++ b/drivers/asio/asio_upstream_client.cpp
@@ -59,7 +59,7 @@
                                                        std::shared_ptr<UpstreamHandler> handler)
 {
     auto [address, target] = splitUrl(request.url);
-    auto connection = takeIdle(address, request.reuseWithin);
+    auto connection = takeIdle(address, request);
     if (!connection) {
         connection = std::make_shared<UpstreamConnection>(*this, address);
         ++m_opened;
@@ -81,7 +81,7 @@
 }
 
 AsioUpstreamClient::Connection AsioUpstreamClient::takeIdle(const std::string &address,
-                                                            Duration reuseWithin)
+                                                            const UpstreamRequest &request)
 {
     const auto it = m_idle.find(address);
     if (it == m_idle.end())
@@ -91,7 +91,9 @@
     while (!connections.empty()) {
         auto connection = connections.back();
         connections.pop_back();
-        if (now < connection->usableUntil() && now - connection->idleSince() < reuseWithin)
+        if (now < connection->usableUntil() &&
+            now - connection->idleSince() < request.reuseWithin &&
+            connection->mayServe(request.tag))
             return connection;
         connection->close();
     }
--- a/drivers/asio/asio_upstream_client.h
+++ b/drivers/asio/asio_upstream_client.h
@@ -39,7 +39,7 @@
     friend class UpstreamConnection;
     using Connection = std::shared_ptr<UpstreamConnection>;
 
-    Connection takeIdle(const std::string &address, Duration reuseWithin);
+    Connection takeIdle(const std::string &address, const UpstreamRequest &request);
     void release(const Connection &connection);
     void drop(const Connection &connection);
 
--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <exception>
 #include <iterator>
@@ -320,6 +322,7 @@
     const int status = m_parser->status;
     m_out.clear();
     m_isReused = true;
+    m_lastTag = std::move(m_request.tag);
     m_request = UpstreamRequest{};
     m_idleSince = m_client.m_loop.now();
     m_usableUntil = m_keepAlive == Duration::max() ? TimePoint::max() : m_idleSince + m_keepAlive;
@@ -358,6 +361,16 @@
         m_keepAlive = seconds(n) - kReuseMargin;
 }
 
+bool UpstreamConnection::mayServe(const std::string &tag)
+{
+    if (!tag.empty() && tag == m_lastTag)
+        return false;
+    std::array<char, 1> byte{};
+    const auto n =
+            recv(m_socket.native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool UpstreamConnection::isForeignAnswer() const
 {
     if (m_headDelivered || m_request.tagHeader.empty())
--- a/drivers/asio/upstream_connection.h
+++ b/drivers/asio/upstream_connection.h
@@ -28,6 +28,13 @@
     /** Closes the connection without a word to a handler. */
     void close();
 
+    /**
+     * @return whether the idle connection can serve a request with @p tag: bytes that are there
+     *         already belong to no request, and a copy of the answer to an earlier request with the
+     *         same tag would be taken for the answer.
+     */
+    bool mayServe(const std::string &tag);
+
     const std::string &address() const { return m_address; }
     /** @return when the last call ended. */
     TimePoint idleSince() const { return m_idleSince; }
@@ -83,6 +90,7 @@
     bool m_isReused = false;
     /** The answer names its request, where the request has a tag. */
     bool m_isNamed = true;
+    std::string m_lastTag;
     /** Bytes of the current call that were no part of its answer. */
     std::size_t m_discardedBytes = 0;
 
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(surplusAnswerOnIdleConnectionClosesIt);
     CPPUNIT_TEST(refusalThatNamesNoRequestIsNoAnswerOnAReusedConnection);
     CPPUNIT_TEST(answerThatNamesNoRequestEndsTheUseOfItsConnection);
+    CPPUNIT_TEST(repeatedRequestDoesNotReuseItsConnection);
+    CPPUNIT_TEST(bytesOnAnIdleConnectionKeepItFromBeingUsed);
     CPPUNIT_TEST(endlessBytesEndTheCall);
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
     CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
@@ -108,6 +110,40 @@
         peer.expectClosed();
     }
 
+    // Guards against a copy of a refusal that names the very request which is sent once more.
+    void repeatedRequestDoesNotReuseItsConnection()
+    {
+        const auto handler = sendToPeer("1");
+        auto &peer = acceptPeer();
+        peer.expect("id: 1");
+        peer.send("HTTP/1.1 503 Full\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
+        runUntil(*m_loop, [&] { return handler->ended; });
+        const auto again = sendToPeer("1");
+        acceptPeer().expect("id: 1");
+        peer.expectClosed();
+        CPPUNIT_ASSERT(!again->ended);
+    }
+
+    // Guards against a request that is lost on a connection whose next bytes are no answer to it.
+    void bytesOnAnIdleConnectionKeepItFromBeingUsed()
+    {
+        for (const bool isClosed : {false, true}) {
+            auto handler = sendToPeer("1");
+            auto &peer = acceptPeer();
+            peer.expect("id: 1");
+            peer.send("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
+            runUntil(*m_loop, [&] { return handler->ended; });
+            // The loop does not run in between, so it has not noticed the bytes or the end.
+            if (isClosed)
+                peer.socket.close();
+            else
+                peer.send("no answer");
+            handler = sendToPeer("2");
+            acceptPeer().expect("id: 2");
+            CPPUNIT_ASSERT(!handler->ended);
+        }
+    }
+
     // Guards against memory and time spent on an upstream that sends bytes without end which are no
     // answer, until the request's own time limit.
     void endlessBytesEndTheCall()
