Continue a stream only with the rest of it

Callers found an error event or another body in the middle of their stream, pieces of two runs joined, or a stream that ended as if it were complete. It happened when a stream had broken off and the next upstream answered with a 204 or 206, with an event without an id, with a run that began again at its first event, or with ids that left some out. A stream without any ids was sent once more from the start.

Cause: any proven success of the type text/event-stream counted as the rest of the stream, and only events with old ids were dropped.

The next attempt continues a stream only with the status that the stream began with, and its first event has to follow: the last event once more with the same text, or an id that is no further on than ids were before. Otherwise the call is cancelled, and another upstream is asked or the caller's answer is broken off. A stream without ids is not continued. An answer that ends properly without a new event still completes the stream: the upstream proves that nothing follows the last event.

Four of the six new tests of ExchangeTest failed on the code before with joined bodies or a proper end, streamWithoutIdsIsNotResumed saw a second call; streamThatEndsAfterItsLastEventIsComplete passed before as well. All pass now.

--- a/servers/gateway/answer_relay.cpp
+++ b/servers/gateway/answer_relay.cpp
@@ -30,6 +30,8 @@
     m_splitter.reset();
     m_hasFirstOutput = false;
     m_attemptEvents = 0;
+    m_isMisplaced = false;
+    m_hasAddedEvent = false;
 }
 
 void AnswerRelay::onHead(int status, HttpHeaders headers, const ResponseMeta &answer, bool isStream)
@@ -75,22 +77,56 @@
            m_splitter.pending() > EventSplitter::kMaxEventBytes;
 }
 
+AnswerRelay::EventPlace AnswerRelay::placeOf(const StreamEvent &event) const
+{
+    if (!m_begun)
+        return EventPlace::Next;
+    if (m_hasAddedEvent) {
+        const bool isOld = event.id && m_lastEventId && *event.id <= *m_lastEventId;
+        return isOld ? EventPlace::Repeated : EventPlace::Next;
+    }
+    if (!event.id || !m_lastEventId || *event.id < *m_lastEventId)
+        return EventPlace::Unknown;
+    if (*event.id == *m_lastEventId)
+        return event.text == m_lastEvent ? EventPlace::Repeated : EventPlace::Unknown;
+    // A larger step than any before means that events are missing.
+    return *event.id - *m_lastEventId > std::max<std::uint64_t>(m_largestIdStep, 1)
+                   ? EventPlace::Unknown
+                   : EventPlace::Next;
+}
+
+void AnswerRelay::recordEventId(std::uint64_t id)
+{
+    const std::uint64_t step = id - m_lastEventId.value_or(0);
+    // The first id is a step only as long as there is no other: the stream may begin anywhere.
+    m_largestIdStep = m_hasIdStep ? std::max(m_largestIdStep, step) : step;
+    m_hasIdStep = m_lastEventId.has_value();
+    m_lastEventId = id;
+}
+
 void AnswerRelay::onEvent(const StreamEvent &event)
 {
+    if (m_isMisplaced)
+        return;
     recordFirstOutput();
     ++m_attemptEvents;
-    if (event.id && m_lastEventId && *event.id <= *m_lastEventId)
+    const EventPlace place = placeOf(event);
+    m_isMisplaced = place == EventPlace::Unknown;
+    if (place != EventPlace::Next)
         return;
     if (!m_begun)
         begin(std::nullopt);
+    m_hasAddedEvent = true;
     m_writer->write(event.text);
     ++m_stats.events;
     const TimePoint now = m_loop.now();
     if (m_stats.lastEventAt != TimePoint{})
         m_stats.longestPause = std::max(m_stats.longestPause, now - m_stats.lastEventAt);
     m_stats.lastEventAt = now;
-    if (event.id)
-        m_lastEventId = event.id;
+    if (event.id) {
+        recordEventId(*event.id);
+        m_lastEvent = event.text;
+    }
 }
 
 void AnswerRelay::recordFirstOutput()
--- a/servers/gateway/answer_relay.h
+++ b/servers/gateway/answer_relay.h
@@ -59,6 +59,14 @@
     /** @return true when the bytes received so far end within an event. */
     bool hasPartialEvent() const { return isStream() && m_splitter.pending() > 0; }
 
+    /** @return false when the caller has part of an answer that no other attempt can continue. */
+    bool canContinue() const
+    {
+        return !m_begun || (m_lastEventId.has_value() && !isPassedThrough());
+    }
+    /** @return true when the current attempt's stream is not the rest of the one that broke off. */
+    bool isMisplaced() const { return m_isMisplaced; }
+
     /** @return true when the bytes received are more than a buffered answer or an event may have.
      */
     bool isTooLong() const;
@@ -88,7 +96,18 @@
         Events
     };
 
+    /** Where an event belongs in the caller's stream. */
+    enum class EventPlace {
+        Next,
+        /** The caller has it. */
+        Repeated,
+        /** It is not known to follow what the caller has. */
+        Unknown
+    };
+
     void begin(std::optional<std::size_t> length);
+    EventPlace placeOf(const StreamEvent &event) const;
+    void recordEventId(std::uint64_t id);
     void onEvent(const StreamEvent &event);
     void recordFirstOutput();
 
@@ -104,7 +123,14 @@
     bool m_begun = false;
     bool m_hasFirstOutput = false;
     std::uint64_t m_attemptEvents = 0;
+    bool m_isMisplaced = false;
+    /** The current attempt has added an event to the caller's stream. */
+    bool m_hasAddedEvent = false;
     std::optional<std::uint64_t> m_lastEventId;
+    std::string m_lastEvent;
+    /** Largest difference between the ids of successive events. */
+    std::uint64_t m_largestIdStep = 0;
+    bool m_hasIdStep = false;
     RelayStats m_stats;
 };
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -255,7 +255,10 @@
 void Exchange::onHead(int status, HttpHeaders headers)
 {
     const auto answer = m_gateway.parts().dialect.readResponse(status, headers);
-    const bool isStream = m_route->kind == RouteKind::Streaming && isSuccess(status) &&
+    // A stream goes on only with an answer like the one that it began with.
+    const bool hasStreamStatus =
+            m_relay.hasBegun() ? status == m_relay.status() : isSuccess(status);
+    const bool isStream = m_route->kind == RouteKind::Streaming && hasStreamStatus &&
                           answer.hasResponseStamp && isEventStream(headers);
     if (!answer.certainlyNotRun)
         m_executionTracker.setState(AttemptState::Begun);
@@ -278,6 +281,11 @@
         endTooLongAnswer();
         return true;
     }
+    if (m_relay.isMisplaced()) {
+        std::exchange(m_call, nullptr)->cancel();
+        onBrokenAnswer({UpstreamResult::Cancelled, m_relay.attemptStatus(), "not the rest", false});
+        return true;
+    }
     return mayContinue;
 }
 
@@ -371,7 +379,7 @@
     if (end.result == UpstreamResult::Broken && !m_hasGoneOn)
         reportLostAttempt();
     closeAttempt(reached ? AttemptOutcome::Failed : AttemptOutcome::Unreachable);
-    const bool mayRetry = !m_relay.isPassedThrough() &&
+    const bool mayRetry = m_relay.canContinue() &&
                           (m_executionTracker.isCertainlyNotRun() || m_route->isRepeatable());
     if (!mayRetry || !tryRetry(reached))
         failOrAbort(failureReason(end));
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -4,11 +4,13 @@
 #include <fmt/format.h>
 
 #include <deque>
+#include <tuple>
 
 namespace hawthornslip::test {
 
 namespace {
 
+constexpr std::string_view kTwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const HttpHeaders kProvenStream = {{"proof", "1"}, {"content-type", "text/event-stream"}};
 
 /** Records the calls to upstreams, so that a test can answer them. */
@@ -113,6 +115,12 @@
     CPPUNIT_TEST(retriesIdempotentAfterBrokenConnection);
     CPPUNIT_TEST(rejectsUnprovenSuccess);
     CPPUNIT_TEST(resumesStreamWithoutGapOrDuplicate);
+    CPPUNIT_TEST(errorOfTheNextUpstreamStaysOutOfTheStream);
+    CPPUNIT_TEST(emptyAnswerOfTheNextUpstreamDoesNotCompleteTheStream);
+    CPPUNIT_TEST(streamThatEndsAfterItsLastEventIsComplete);
+    CPPUNIT_TEST(runThatDoesNotGoOnAtTheLastEventIsNotJoined);
+    CPPUNIT_TEST(runWithMissingEventsIsNotJoined);
+    CPPUNIT_TEST(streamWithoutIdsIsNotResumed);
     CPPUNIT_TEST(doesNotRelayPartialEvent);
     CPPUNIT_TEST(streamThatClosesBeforeItsFirstEventIsNotAnEmptyAnswer);
     CPPUNIT_TEST(abortsBrokenNonResumableStream);
@@ -273,6 +281,112 @@
                              view->body);
     }
 
+    // Guards against an error, its head or another body in the middle of a caller's stream, and
+    // against a stream that ends there as if it were complete.
+    void errorOfTheNextUpstreamStaysOutOfTheStream()
+    {
+        const HttpHeaders stream = {{"content-type", "text/event-stream"}};
+        const HttpHeaders json = {{"proof", "1"}, {"content-type", "application/json"}};
+        const HttpHeaders notRun = {{"not-run", "1"}, {"content-type", "text/event-stream"}};
+        const std::string event = "id: 3\ndata: error\n\n";
+        const std::vector<std::tuple<int, HttpHeaders, std::string>> answers = {
+                {500, kProvenStream, event},
+                {503, notRun, event},
+                {421, {}, ""},
+                {404, json, R"({"error":"x"})"},
+                {500, kProvenStream, std::string(1 << 20, 'x')},
+                {500, stream, std::string(1 << 20, 'x')},
+                {200, json, R"({"answer":"x"})"},
+                {200, json, std::string(1 << 20, 'x')},
+                {200, stream, event},
+                {200, {}, ""},
+                {206, kProvenStream, event},
+                {200, kProvenStream, "event: error\ndata: x\n\n"},
+                {200, kProvenStream, "HTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\nx"},
+        };
+        for (const auto &[status, headers, body] : answers) {
+            for (const bool endsByClose : {false, true}) {
+                const auto view = callWithBrokenStream();
+                auto &second = *m_client.calls.at(1);
+                second.handler->onHeaders(status, headers);
+                if (!body.empty())
+                    second.handler->onData(body);
+                second.handler->onEnd(
+                        {UpstreamResult::Complete, status, "", endsByClose, endsByClose});
+                const std::string name = fmt::format("{} {}", status, body.substr(0, 40));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(kTwoEvents), view->body);
+                CPPUNIT_ASSERT_MESSAGE(name, view->aborted && !view->ended);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 200, view->status);
+            }
+        }
+    }
+
+    void emptyAnswerOfTheNextUpstreamDoesNotCompleteTheStream()
+    {
+        for (const int status : {200, 204}) {
+            const auto view = callWithBrokenStream();
+            auto &second = *m_client.calls.at(1);
+            second.handler->onHeaders(status, kProvenStream);
+            // Nothing tells the end of this answer from a connection that broke off.
+            second.handler->onEnd({UpstreamResult::Complete, status, "", true, status == 200});
+            CPPUNIT_ASSERT(view->aborted && !view->ended);
+        }
+    }
+
+    // Guards against a whole stream that is broken off: only its end was lost, and the next
+    // upstream proves that nothing follows.
+    void streamThatEndsAfterItsLastEventIsComplete()
+    {
+        for (const std::string body : {"", "id: 2\ndata: b\n\n"}) {
+            const auto view = callWithBrokenStream();
+            m_client.calls.at(1)->answer(200, kProvenStream, body);
+            CPPUNIT_ASSERT(view->ended && !view->aborted);
+            CPPUNIT_ASSERT_EQUAL(std::string(kTwoEvents), view->body);
+        }
+    }
+
+    // Guards against pieces of two runs in one stream.
+    void runThatDoesNotGoOnAtTheLastEventIsNotJoined()
+    {
+        for (const std::string body :
+             {"id: 1\ndata: c\n\nid: 2\ndata: d\n\nid: 3\ndata: e\n\n", "id: 1\ndata: c\n\n",
+              "id: 2\ndata: other\n\nid: 3\ndata: e\n\n"}) {
+            const auto view = callWithBrokenStream();
+            m_client.calls.at(1)->answer(200, kProvenStream, body);
+            CPPUNIT_ASSERT(m_client.calls.at(1)->cancelled);
+            CPPUNIT_ASSERT_EQUAL(std::string(kTwoEvents), view->body);
+            CPPUNIT_ASSERT(view->aborted && !view->ended);
+        }
+    }
+
+    void runWithMissingEventsIsNotJoined()
+    {
+        const auto view = callWithBrokenStream();
+        m_client.calls.at(1)->answer(200, kProvenStream, "id: 4\ndata: d\n\n");
+        CPPUNIT_ASSERT_EQUAL(std::string(kTwoEvents), view->body);
+        CPPUNIT_ASSERT(view->aborted && !view->ended);
+        // Ids may increase by more than one.
+        m_client.calls.clear();
+        const auto wide = call("/draft/1");
+        m_client.calls.at(0)->handler->onHeaders(200, kProvenStream);
+        m_client.calls.at(0)->handler->onData("id: 5\ndata: a\n\n");
+        m_client.calls.at(0)->end(UpstreamResult::Broken);
+        m_client.calls.at(1)->answer(200, kProvenStream, "id: 10\ndata: b\n\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 5\ndata: a\n\nid: 10\ndata: b\n\n"), wide->body);
+        CPPUNIT_ASSERT(wide->ended);
+    }
+
+    // Guards against a new run from the start that is appended to the part which the caller has.
+    void streamWithoutIdsIsNotResumed()
+    {
+        const auto view = call("/draft/1");
+        m_client.calls.at(0)->handler->onHeaders(200, kProvenStream);
+        m_client.calls.at(0)->handler->onData("data: a\n\n");
+        m_client.calls.at(0)->end(UpstreamResult::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_client.calls.size());
+        CPPUNIT_ASSERT(view->aborted);
+    }
+
     // Guards against a truncated event that looks complete because the stream ended properly.
     void doesNotRelayPartialEvent()
     {
@@ -438,6 +552,19 @@
     }
 
 private:
+    /** @return a caller whose stream broke off after two events; the second attempt is sent. */
+    std::shared_ptr<CallerView> callWithBrokenStream()
+    {
+        // New gateways: none of them holds an upstream for faulty because of an earlier case.
+        setUp();
+        auto view = call("/draft/1");
+        auto &first = *m_client.calls.at(0);
+        first.handler->onHeaders(200, kProvenStream);
+        first.handler->onData(fmt::format("{}id: 3\nda", kTwoEvents));
+        first.end(UpstreamResult::Broken);
+        return view;
+    }
+
     std::shared_ptr<CallerView> call(const std::string &target, HttpHeaders headers = {})
     {
         headers.emplace_back("key", "secret");
