Do not complete a broken stream with another answer

On the product's own path a stream of a language model that had broken off ended without "[DONE]" and without an error event when the next upstream answered with a plain 2xx, 3xx or 4xx: to the caller it looked complete.

Cause: RequestRun::onBodyComplete took such an answer for the answer of the request and ended the run as a success, although part of a stream had been relayed.

After a stream has begun, a plain answer is a failed attempt: it is retried within the limits, or the stream ends with an error event.

AttemptsTest::plainAnswerDoesNotCompleteABrokenStream failed on the code before at status 200 (no error event) and passes now.

--- a/servers/request_path/request_run.cpp
+++ b/servers/request_path/request_run.cpp
@@ -285,6 +285,13 @@
         succeed(attempt);
         return;
     }
+    if (relayStarted()) {
+        // The caller has part of a stream, which no other body continues.
+        attemptFailed(
+                attempt,
+                failureOf(attempt->status(), attempt->headers()).value_or(truncationFailure()));
+        return;
+    }
     const bool language = m_context.route == RouteKind::Language;
     if (const auto failure = failureOf(attempt->status(), attempt->headers())) {
         // An application's own error answer is relayed unless it is a refusal or a retry is left;
--- a/tests/servers/request_path/attempts_test.cpp
+++ b/tests/servers/request_path/attempts_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/servers/request_path/path_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace hawthornslip {
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(brokenStreamResumesAfterItsTokens);
     CPPUNIT_TEST(preemptedStreamResumes);
     CPPUNIT_TEST(preemptionOfAnOrderIsIgnored);
+    CPPUNIT_TEST(plainAnswerDoesNotCompleteABrokenStream);
     CPPUNIT_TEST(streamThatMayNotResumeReportsItsError);
     CPPUNIT_TEST(answerOfAnotherRequestIsDropped);
     CPPUNIT_TEST(eventOfAnotherRequestIsDropped);
@@ -193,6 +195,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.upstream.calls.size());
     }
 
+    // Guards against a stream that ends without its error or its rest because the next upstream
+    // answers with something else.
+    void plainAnswerDoesNotCompleteABrokenStream()
+    {
+        for (const int status : {200, 302, 400, 404, 500, 503}) {
+            PathFixture it;
+            it.retries.budget = 1;
+            it.then([&] {
+                it.call(0).streamHeaders();
+                it.call(0).token("a");
+                it.call(0).end(UpstreamResult::Broken);
+            });
+            it.then([&] {
+                it.call(1).headers(status, "application/json");
+                it.call(1).handler->onData(R"({"error":"text of the error"})");
+                it.call(1).end(UpstreamResult::Complete);
+            });
+            auto answer = it.language("chat", true);
+            const auto text = PathFixture::readAll(answer);
+            const std::string name = fmt::format("{}: {}", status, text);
+            CPPUNIT_ASSERT_MESSAGE(name, text.find("text of the error") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(name, text.find("[DONE]") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(name,
+                                   text.find(R"("code":"upstream_failed")") != std::string::npos);
+        }
+    }
+
     // Guards against a truncated stream that looks complete to its caller.
     void streamThatMayNotResumeReportsItsError()
     {
