--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
     CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
     CPPUNIT_TEST(brokenAnswerWithoutLengthEndsWithReset);
+    CPPUNIT_TEST(abortedAnswerInChunksHasNoLastChunk);
     CPPUNIT_TEST(requestThatArrivesDuringTheStopIsAnswered);
     CPPUNIT_TEST(waitingConnectionsAreServedBeforeTheListenerCloses);
     CPPUNIT_TEST(failingHandlerEndsOnlyItsRequest);
@@ -233,6 +234,23 @@
         }
     }
 
+    void abortedAnswerInChunksHasNoLastChunk()
+    {
+        m_sink->answer = nullptr;
+        auto &peer = connectPeer();
+        peer.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        runUntil(*m_loop, [&] { return !m_sink->writers.empty(); });
+        auto &writer = *m_sink->writers.back();
+        writer.begin(200, {}, std::nullopt);
+        writer.write("part");
+        peer.expect("part\r\n");
+        writer.abort();
+        writer.write("more");
+        writer.end();
+        peer.expectClosed();
+        CPPUNIT_ASSERT(peer.received.ends_with("4\r\npart\r\n"));
+    }
+
     // Guards against requests that are cut off without an answer because they arrive, whole or in
     // part, just when the server closes its idle connections.
     void requestThatArrivesDuringTheStopIsAnswered()
