--- a/tests/platform/odd_objects_test.cpp
+++ b/tests/platform/odd_objects_test.cpp
@@ -77,7 +77,7 @@
 
 const std::vector<std::string> &unreadableSpecs()
 {
-    static const std::vector<std::string> specs = {
+    static const std::vector<std::string> kSpecs = {
             nested("[", "]"),
             nested("{\"a\":", "}"),
             specWith("cold_left_ms", nested("[", "]")),
@@ -95,12 +95,12 @@
             "7",
             "{}",
     };
-    return specs;
+    return kSpecs;
 }
 
 const std::vector<std::string> &wrongSpecs()
 {
-    static const std::vector<std::string> specs = {
+    static const std::vector<std::string> kSpecs = {
             specWith("slots", "-1"),
             specWith("slots", "4294967296"),
             specWith("slots", "99999999999999999999"),
@@ -121,7 +121,7 @@
             specWith("address", "\"10.0.0.9/x:80\""),
             specWith("address", "80"),
     };
-    return specs;
+    return kSpecs;
 }
 
 /** @return the names of the usable upstreams of a list and of a watch; they have to agree. */
