--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <exception>
 #include <iterator>
@@ -48,6 +50,7 @@
     m_paused = false;
     m_written = 0;
     m_discardedBytes = 0;
+    m_isNamed = true;
     resetParser();
     buildMessage(target);
     armTimers();
@@ -247,6 +250,11 @@
             resetParser();
         return n > 0 && !m_in.empty();
     }
+    if (!m_headDelivered && m_isReused && !isNamedAnswer()) {
+        // It may as well be a second copy of an earlier answer.
+        finish(UpstreamResult::Broken, "an answer that names no request");
+        return false;
+    }
     if (!deliverHead() || !deliverBody())
         return false;
     if (m_parser->is_done()) {
@@ -272,6 +280,7 @@
     m_headDelivered = true;
     m_closing = m_closing || !m_parser->keep_alive();
     noteKeepAlive();
+    m_isNamed = isNamedAnswer();
     const auto handler = m_handler;
     handler->onHeaders(m_parser->status, m_parser->headers);
     return m_handler != nullptr;
@@ -298,7 +307,8 @@
 
 void UpstreamConnection::onAnswerDone()
 {
-    const bool reusable = !m_closing && m_in.empty() && m_written == m_out.size();
+    // If an answer does not name its request, a second copy could not be told from the next answer.
+    const bool reusable = !m_closing && m_isNamed && m_in.empty() && m_written == m_out.size();
     if (!m_in.empty())
         logEvent(LogLevel::Info, "extra_bytes_dropped",
                  {{"upstream", m_address}, {"bytes", m_in.size()}});
@@ -311,6 +321,8 @@
     const auto handler = std::exchange(m_handler, nullptr);
     const int status = m_parser->status;
     m_out.clear();
+    m_isReused = true;
+    m_lastTag = std::move(m_request.tag);
     m_request = UpstreamRequest{};
     m_idleSince = m_client.m_loop.now();
     m_usableUntil = m_keepAlive == Duration::max() ? TimePoint::max() : m_idleSince + m_keepAlive;
@@ -349,6 +361,16 @@
         m_keepAlive = seconds(n) - kReuseMargin;
 }
 
+bool UpstreamConnection::mayServe(const std::string &tag)
+{
+    if (!tag.empty() && tag == m_lastTag)
+        return false;
+    std::array<char, 1> byte{};
+    const auto n =
+            recv(m_socket.native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool UpstreamConnection::isForeignAnswer() const
 {
     if (m_headDelivered || m_request.tagHeader.empty())
@@ -357,6 +379,11 @@
     return tag != nullptr && *tag != m_request.tag;
 }
 
+bool UpstreamConnection::isNamedAnswer() const
+{
+    return m_request.tag.empty() || findHeader(m_parser->headers, m_request.tagHeader) != nullptr;
+}
+
 void UpstreamConnection::resetParser()
 {
     m_headDelivered = false;
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -19,10 +19,15 @@
     CPPUNIT_TEST_SUITE(MisbehavingPeerTest);
     CPPUNIT_TEST(surplusAnswerOfEarlierRequestIsSkippedAnywhere);
     CPPUNIT_TEST(surplusAnswerOnIdleConnectionClosesIt);
+    CPPUNIT_TEST(refusalThatNamesNoRequestIsNoAnswerOnAReusedConnection);
+    CPPUNIT_TEST(answerThatNamesNoRequestEndsTheUseOfItsConnection);
+    CPPUNIT_TEST(repeatedRequestDoesNotReuseItsConnection);
+    CPPUNIT_TEST(bytesOnAnIdleConnectionKeepItFromBeingUsed);
     CPPUNIT_TEST(endlessBytesEndTheCall);
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
     CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
     CPPUNIT_TEST(brokenAnswerWithoutLengthEndsWithReset);
+    CPPUNIT_TEST(abortedAnswerInChunksHasNoLastChunk);
     CPPUNIT_TEST(requestThatArrivesDuringTheStopIsAnswered);
     CPPUNIT_TEST(waitingConnectionsAreServedBeforeTheListenerCloses);
     CPPUNIT_TEST(failingHandlerEndsOnlyItsRequest);
@@ -72,6 +77,74 @@
         CPPUNIT_ASSERT(!next->ended);
     }
 
+    // Guards against "not run" for a request that runs: an earlier refusal comes once more without
+    // its id, before the request is written in full or after it.
+    void refusalThatNamesNoRequestIsNoAnswerOnAReusedConnection()
+    {
+        const std::string own = "HTTP/1.1 503 Full\r\nid: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string copy = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+        for (const bool isWritten : {false, true}) {
+            auto handler = sendToPeer("1");
+            auto &peer = acceptPeer();
+            peer.expect("id: 1");
+            peer.send(own);
+            runUntil(*m_loop, [&] { return handler->ended; });
+            handler = sendToPeer("2", isWritten ? "" : std::string(32 * kMegabyte, 'x'));
+            peer.expect("id: 2");
+            peer.send(copy);
+            runUntil(*m_loop, [&] { return handler->ended; });
+            CPPUNIT_ASSERT(handler->end.result == UpstreamResult::Broken);
+            CPPUNIT_ASSERT_EQUAL(0, handler->status);
+            peer.expectClosed();
+        }
+    }
+
+    void answerThatNamesNoRequestEndsTheUseOfItsConnection()
+    {
+        const auto handler = sendToPeer("1");
+        auto &peer = acceptPeer();
+        peer.expect("id: 1");
+        peer.send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+        runUntil(*m_loop, [&] { return handler->ended; });
+        CPPUNIT_ASSERT_EQUAL(503, handler->status);
+        CPPUNIT_ASSERT(!handler->end.closing);
+        peer.expectClosed();
+    }
+
+    // Guards against a copy of a refusal that names the very request which is sent once more.
+    void repeatedRequestDoesNotReuseItsConnection()
+    {
+        const auto handler = sendToPeer("1");
+        auto &peer = acceptPeer();
+        peer.expect("id: 1");
+        peer.send("HTTP/1.1 503 Full\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
+        runUntil(*m_loop, [&] { return handler->ended; });
+        const auto again = sendToPeer("1");
+        acceptPeer().expect("id: 1");
+        peer.expectClosed();
+        CPPUNIT_ASSERT(!again->ended);
+    }
+
+    // Guards against a request that is lost on a connection whose next bytes are no answer to it.
+    void bytesOnAnIdleConnectionKeepItFromBeingUsed()
+    {
+        for (const bool isClosed : {false, true}) {
+            auto handler = sendToPeer("1");
+            auto &peer = acceptPeer();
+            peer.expect("id: 1");
+            peer.send("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
+            runUntil(*m_loop, [&] { return handler->ended; });
+            // The loop does not run in between, so it has not noticed the bytes or the end.
+            if (isClosed)
+                peer.socket.close();
+            else
+                peer.send("no answer");
+            handler = sendToPeer("2");
+            acceptPeer().expect("id: 2");
+            CPPUNIT_ASSERT(!handler->ended);
+        }
+    }
+
     // Guards against memory and time spent on an upstream that sends bytes without end which are no
     // answer, until the request's own time limit.
     void endlessBytesEndTheCall()
@@ -161,6 +234,23 @@
         }
     }
 
+    void abortedAnswerInChunksHasNoLastChunk()
+    {
+        m_sink->answer = nullptr;
+        auto &peer = connectPeer();
+        peer.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        runUntil(*m_loop, [&] { return !m_sink->writers.empty(); });
+        auto &writer = *m_sink->writers.back();
+        writer.begin(200, {}, std::nullopt);
+        writer.write("part");
+        peer.expect("part\r\n");
+        writer.abort();
+        writer.write("more");
+        writer.end();
+        peer.expectClosed();
+        CPPUNIT_ASSERT(peer.received.ends_with("4\r\npart\r\n"));
+    }
+
     // Guards against requests that are cut off without an answer because they arrive, whole or in
     // part, just when the server closes its idle connections.
     void requestThatArrivesDuringTheStopIsAnswered()
