--- a/tests/platform/odd_objects_test.cpp
+++ b/tests/platform/odd_objects_test.cpp
@@ -142,7 +142,7 @@
             names += it.value ? it.name + " " : "";
     };
     if (isWatch)
-        feed->watch(529, seconds(2), collect);
+        feed->watch({0, 529}, seconds(2), collect);
     else
         feed->list("", collect);
     return names;
@@ -201,7 +201,7 @@
     {
         for (const auto &spec : unreadableSpecs()) {
             StateReply sent;
-            sent.changes.revision = 530;
+            sent.changes.position.revision = 530;
             sent.changes.objects = {{"i-1", false, specWith("", "")},
                                     {"i-2", false, spec},
                                     {"i-3", false, specWith("", "")}};
