Leave upstreams out that had left before the store was restored

A copy of the store names upstreams that have left or begun to drain since it was taken. The first list after a restart of the store made them usable again, until they were written again or dropped for want of heartbeats.

The directory remembers which processes (id, address and time of start) have left or drain. In the first list of a new era such an entry does not count until the upstream writes it, or until the platform would have dropped it; a draining one stays so. Entries that the copy lacks stay usable for as long as after an outage, also at nodes that follow a reader and have not lost contact themselves. An upstream that starts again under its id is told apart by its time of start.

The five new tests of the directory and its sink fail when the list is applied as any other one, as before.

--- a/modules/upstreams/tests/upstream_directory_test.cpp
+++ b/modules/upstreams/tests/upstream_directory_test.cpp
@@ -32,6 +32,10 @@
     CPPUNIT_TEST(endedUpstreamIsLeftOutLongerWithRareHeartbeats);
     CPPUNIT_TEST(endedUpstreamReturnsAfterRestart);
     CPPUNIT_TEST(listReplacesAll);
+    CPPUNIT_TEST(upstreamThatLeftStaysUnusedAfterARestore);
+    CPPUNIT_TEST(drainingUpstreamStaysSoAfterARestore);
+    CPPUNIT_TEST(restartedUpstreamIsUsedAfterARestore);
+    CPPUNIT_TEST(upstreamThatTheCopyLacksStaysUntilItRegisters);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +54,72 @@
         CPPUNIT_ASSERT(directory.usable("models", kStart).empty());
     }
 
+    // Guards against requests to an upstream that had left and is back in the copy of the store.
+    void upstreamThatLeftStaysUnusedAfterARestore()
+    {
+        UpstreamDirectory directory(DirectoryTimes{});
+        directory.replaceAll({makeEntry("a"), makeEntry("b")}, kStart);
+        directory.remove(UpstreamId("a"), kStart);
+        const TimePoint restoredAt = kStart + seconds(9);
+        directory.expire(restoredAt);
+        directory.replaceAllRestored({makeEntry("a"), makeEntry("b")}, restoredAt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("models", restoredAt).size());
+        directory.remove(UpstreamId("b"), restoredAt + seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                             directory.usable("models", restoredAt + seconds(3)).at(0).id.value);
+        // It writes its entry, or is still listed when the platform would have dropped it.
+        auto written = directory;
+        written.put(makeEntry("a"), restoredAt + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, written.usable("models", restoredAt).size());
+        directory.expire(restoredAt + seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                             directory.usable("models", restoredAt + seconds(4)).at(0).id.value);
+    }
+
+    // Guards against new requests to an upstream whose draining state was lost with the store's.
+    void drainingUpstreamStaysSoAfterARestore()
+    {
+        UpstreamDirectory directory(DirectoryTimes{});
+        directory.put(makeEntry("a"), kStart);
+        auto draining = makeEntry("a");
+        draining.draining = true;
+        directory.put(draining, kStart);
+        directory.replaceAllRestored({makeEntry("a")}, kStart);
+        directory.expire(kStart + seconds(10));
+        CPPUNIT_ASSERT(directory.usable("models", kStart + seconds(10)).empty());
+    }
+
+    // Guards against an upstream that is taken for the process which had its ID before.
+    void restartedUpstreamIsUsedAfterARestore()
+    {
+        UpstreamDirectory directory(DirectoryTimes{});
+        auto first = makeEntry("a");
+        first.bornMs = 1;
+        auto second = first;
+        second.bornMs = 2;
+        directory.put(first, kStart);
+        directory.remove(first.id, kStart);
+        directory.replaceAllRestored({second}, kStart);
+        CPPUNIT_ASSERT(directory.usable("models", kStart) == std::vector{second});
+        // The copy is from before its restart.
+        directory.replaceAllRestored({first}, kStart);
+        CPPUNIT_ASSERT(directory.usable("models", kStart) == std::vector{second});
+    }
+
+    // Guards against too few upstreams while those that registered since the copy register again.
+    void upstreamThatTheCopyLacksStaysUntilItRegisters()
+    {
+        const DirectoryTimes times;
+        UpstreamDirectory directory(times);
+        directory.replaceAll({makeEntry("a"), makeEntry("b")}, kStart);
+        directory.replaceAllRestored({makeEntry("a")}, kStart);
+        const TimePoint last = kStart + times.reregisterWithin;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             directory.usable("models", last - milliseconds(1)).size());
+        directory.expire(last);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("models", last).size());
+    }
+
     // Guards against requests to an upstream that was removed longer ago than the drain time.
     void removedUpstreamIsOnlyAFallback()
     {
--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -15,6 +15,8 @@
 constexpr int kMissedHeartbeats = 3;
 // Until the list without that entry has reached the nodes.
 constexpr Duration kListDelay = milliseconds(400);
+// Upstreams that have left and are remembered.
+constexpr std::size_t kMaxLeft = 1024;
 
 } // namespace
 
@@ -24,27 +26,86 @@
 
 void UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries, TimePoint now)
 {
-    std::set<UpstreamId> listed;
     for (const auto &it : entries) {
-        listed.insert(it.id);
-        put(it, now);
+        const auto known = m_entries.find(it.id);
+        const bool isFromCopy =
+                known != m_entries.end() && known->second.leftUntil && known->second.entry == it;
+        if (!isFromCopy)
+            put(it, now);
+    }
+    removeMissing(entries, now);
+}
+
+void UpstreamDirectory::replaceAllRestored(const std::vector<UpstreamEntry> &entries, TimePoint now)
+{
+    m_storeRecoveredAt = now;
+    for (const auto &it : entries) {
+        if (!hasLeft(it)) {
+            put(it, now);
+            continue;
+        }
+        const auto known = m_entries.find(it.id);
+        if (known != m_entries.end() && !known->second.removed)
+            continue;
+        Record record;
+        record.entry = it;
+        record.leftUntil = now + kMissedHeartbeats * m_times.heartbeat + kListDelay;
+        m_entries[it.id] = std::move(record);
+        ++m_revision;
     }
+    removeMissing(entries, now);
+}
+
+bool UpstreamDirectory::hasLeft(const UpstreamEntry &entry) const
+{
+    return !entry.draining && std::ranges::find(m_left, processOf(entry)) != m_left.end();
+}
+
+UpstreamDirectory::Process UpstreamDirectory::processOf(const UpstreamEntry &entry)
+{
+    return {entry.id, entry.address, entry.bornMs};
+}
+
+void UpstreamDirectory::removeMissing(const std::vector<UpstreamEntry> &entries, TimePoint now)
+{
+    std::set<UpstreamId> listed;
+    for (const auto &it : entries)
+        listed.insert(it.id);
     for (auto &[id, record] : m_entries) {
         if (!listed.contains(id))
             markRemoved(record, now);
     }
 }
 
+void UpstreamDirectory::recordLeft(const UpstreamEntry &entry)
+{
+    const auto process = processOf(entry);
+    std::erase(m_left, process);
+    m_left.push_back(process);
+    if (m_left.size() > kMaxLeft)
+        m_left.pop_front();
+}
+
 void UpstreamDirectory::put(const UpstreamEntry &entry, TimePoint)
 {
+    if (entry.draining)
+        recordLeft(entry);
+    else
+        std::erase(m_left, processOf(entry));
     auto &record = m_entries[entry.id];
+    if (!record.entry.address.empty() && processOf(record.entry) != processOf(entry))
+        recordLeft(record.entry);
     // An upstream that restarted with the same ID has a new address or was removed in between.
-    const bool restarted = record.removed || record.entry.address != entry.address;
-    if (record.entry == entry && !restarted)
+    const bool restarted = record.removed || processOf(record.entry) != processOf(entry);
+    if (record.entry == entry && !restarted && !record.leftUntil)
         return;
-    const auto endedUntil = restarted ? std::nullopt : record.endedUntil;
-    record =
-            Record{entry, !restarted && record.leaving, false, false, TimePoint::max(), endedUntil};
+    Record updated;
+    updated.entry = entry;
+    if (!restarted) {
+        updated.leaving = record.leaving;
+        updated.endedUntil = record.endedUntil;
+    }
+    record = std::move(updated);
     ++m_revision;
 }
 
@@ -63,6 +124,8 @@
     record.removed = true;
     const TimePoint reregisterBy = m_storeRecoveredAt + m_times.reregisterWithin;
     record.mayReregister = !record.entry.draining && now < reregisterBy;
+    if (!record.mayReregister)
+        recordLeft(record.entry);
     record.expiresAt =
             record.mayReregister ? reregisterBy : now + m_times.drainWithin - kDrainMargin;
 }
@@ -97,9 +160,16 @@
             record.endedUntil.reset();
             ++m_revision;
         }
+        if (record.leftUntil && now >= *record.leftUntil) {
+            record.leftUntil.reset();
+            ++m_revision;
+        }
     }
-    const auto expired = std::erase_if(m_entries, [now](const auto &it) {
-        return it.second.removed && now >= it.second.expiresAt;
+    const auto expired = std::erase_if(m_entries, [this, now](const auto &it) {
+        if (!it.second.removed || now < it.second.expiresAt)
+            return false;
+        recordLeft(it.second.entry);
+        return true;
     });
     m_revision += expired > 0 ? 1 : 0;
 }
@@ -110,7 +180,7 @@
     std::vector<UpstreamEntry> fallback;
     for (const auto &[id, record] : m_entries) {
         const auto &entry = record.entry;
-        if (entry.service != service || entry.draining || record.leaving)
+        if (entry.service != service || entry.draining || record.leaving || record.leftUntil)
             continue;
         const bool isPresent = !record.removed || (record.mayReregister && now < record.expiresAt);
         if (isPresent && !record.endedUntil)
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -3,7 +3,9 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,6 +26,8 @@
     std::uint32_t slots = 1;
     /** It finishes its current requests and accepts no new ones. */
     bool draining = false;
+    /** When its process started, in milliseconds since the epoch; zero when it does not say. */
+    std::uint64_t bornMs = 0;
 
     bool operator==(const UpstreamEntry &) const = default;
 };
@@ -51,6 +55,17 @@
     /** Applies the complete list; entries that are missing from it count as removed. */
     void replaceAll(const std::vector<UpstreamEntry> &entries, TimePoint now);
 
+    /**
+     * Applies the first list after the store has restarted from an older copy. Upstreams that have
+     * left since the copy was taken are in it again; they stay unused until they write their entry
+     * or the platform would have dropped it. Those that are missing may register again.
+     */
+    void replaceAllRestored(const std::vector<UpstreamEntry> &entries, TimePoint now);
+
+    /** @return true if the process of @p entry has left or drains, though @p entry does not say so.
+     */
+    bool hasLeft(const UpstreamEntry &entry) const;
+
     /** Adds or updates an entry. */
     void put(const UpstreamEntry &entry, TimePoint now);
 
@@ -100,13 +115,31 @@
         TimePoint expiresAt = TimePoint::max();
         /** Its process has ended; it is not used until then. */
         std::optional<TimePoint> endedUntil;
+        /** It had left before the store was restored; it is not used until then. */
+        std::optional<TimePoint> leftUntil;
+    };
+
+    /** One start of an upstream. */
+    struct Process
+    {
+        UpstreamId id;
+        std::string address;
+        std::uint64_t bornMs = 0;
+
+        auto operator<=>(const Process &) const = default;
     };
 
+    static Process processOf(const UpstreamEntry &entry);
+    /** Removes the entries that are not in @p entries. */
+    void removeMissing(const std::vector<UpstreamEntry> &entries, TimePoint now);
     void markRemoved(Record &record, TimePoint now);
+    void recordLeft(const UpstreamEntry &entry);
 
     DirectoryTimes m_times;
     TimePoint m_storeRecoveredAt{};
     std::map<UpstreamId, Record> m_entries;
+    /** Upstreams that have left or drain, the oldest first. */
+    std::deque<Process> m_left;
     std::uint64_t m_revision = 0;
 };
 
--- a/servers/state/recording_sink.h
+++ b/servers/state/recording_sink.h
@@ -42,6 +42,7 @@
     }
 
     void onStoreRecovered() override { m_sink.onStoreRecovered(); }
+    void onStoreRestored() override { m_sink.onStoreRestored(); }
 
 private:
     static StateObject toObject(const FeedItem<Value> &item)
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -1,5 +1,7 @@
 #include "servers/state/router_state.h"
 
+#include <utility>
+
 namespace hawthornslip {
 
 RouterState::RouterState(EventLoop &loop, Metrics &metrics, KeyTrustPolicy trust,
@@ -36,7 +38,10 @@
         else
             m_state.applyUpstream(it);
     }
-    m_state.m_upstreams.replaceAll(entries, m_state.m_loop.now());
+    if (std::exchange(m_isRestored, false))
+        m_state.m_upstreams.replaceAllRestored(entries, m_state.m_loop.now());
+    else
+        m_state.m_upstreams.replaceAll(entries, m_state.m_loop.now());
     m_state.m_upstreamsListed = true;
     m_state.notifyChanged();
 }
--- a/servers/state/router_state.h
+++ b/servers/state/router_state.h
@@ -59,9 +59,12 @@
         void onChange(const FeedItem<UpstreamEntry> &item) override;
         void onConfirmed(TimePoint, StatePosition) override {}
         void onStoreRecovered() override;
+        void onStoreRestored() override { m_isRestored = true; }
 
     private:
         RouterState &m_state;
+        /** The next list is the first one after a restart of the store from an older copy. */
+        bool m_isRestored = false;
     };
 
     void applyConfig(const FeedItem<RoutingConfig> &item);
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -118,6 +118,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), decoded.value->id.value);
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:80"), decoded.value->address);
         CPPUNIT_ASSERT(!decoded.value->draining);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decoded.value->bornMs);
+        body["born"] = 1767385627000U;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1767385627000},
+                             decodeUpstream("i-1", body).value->bornMs);
+        body["born"] = "early";
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decodeUpstream("i-1", body).value->bornMs);
         body["state"] = "draining";
         CPPUNIT_ASSERT(decodeUpstream("i-1", body).value->draining);
     }
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -382,6 +382,7 @@
     CPPUNIT_TEST_SUITE(RouterStateTest);
     CPPUNIT_TEST(malformedConfigurationChangesNothing);
     CPPUNIT_TEST(malformedEntryRemovesUpstream);
+    CPPUNIT_TEST(upstreamThatLeftReturnsAfterARestoreOnlyWithItsEntry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -412,6 +413,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), usable[0].id.value);
     }
 
+    void upstreamThatLeftReturnsAfterARestoreOnlyWithItsEntry()
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId("a");
+        entry.service = "models";
+        entry.address = "10.0.0.9:80";
+        const FeedItem<UpstreamEntry> item{"a", false, entry, ""};
+        auto &sink = m_state.upstreamSink();
+        sink.onList({item});
+        sink.onChange({"a", true, std::nullopt, ""});
+        sink.onStoreRestored();
+        sink.onList({item});
+        sink.onList({item});
+        CPPUNIT_ASSERT(m_state.upstreams().usable("models", m_loop.now()).empty());
+        sink.onChange(item);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_state.upstreams().usable("models", m_loop.now()).size());
+    }
+
 private:
     ManualLoop m_loop;
     CountingMetrics m_metrics;
--- a/tests/servers/state/state_relay_test.cpp
+++ b/tests/servers/state/state_relay_test.cpp
@@ -172,11 +172,13 @@
         confirmedAt = std::max(confirmedAt, at);
         isFromFuture = isFromFuture || at > m_loop.now();
     }
+    void onStoreRestored() override { ++restores; }
 
     std::map<std::string, int> values;
     TimePoint confirmedAt{};
     bool wentBack = false;
     bool isFromFuture = false;
+    int restores = 0;
 
 private:
     ManualLoop &m_loop;
@@ -615,6 +617,8 @@
         cluster.loop.advance(seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{40}, cluster.knowing("a", 8));
         CPPUNIT_ASSERT_EQUAL(std::size_t{40}, cluster.knowing("b", 1));
+        for (const auto &it : cluster.nodes())
+            CPPUNIT_ASSERT_EQUAL(1, it->known.restores);
     }
 
     // Guards against a watch that skips changes because its revision was given out again.
