Do not confirm or pass on a configuration older than the one in force

After a restart of the store from a copy it has an older configuration until the operator writes the newest one again. No node went back, but each confirmation of that older one counted as one of the configuration in force, so that keys stayed trusted although a later version that takes them away may have been lost; and a node that started meanwhile got the older version from its reader and served it.

While the store has an older version than the one in force, nothing is confirmed: keys fail closed after the usual time. A reader passes on the version that it knows, without confirming it and marked, so that a follower which turns to the store reads the list there first. When the version is written again, followers that had read the older one themselves hear of it though it is the one that the reader has passed on all the time. The line store_has_older_config names both versions.

--- a/core/interfaces/state_feed.h
+++ b/core/interfaces/state_feed.h
@@ -63,6 +63,8 @@
     bool hasMore = false;
     /** Set by another node: upper bound for the time since the store confirmed this result. */
     std::optional<Duration> age{};
+    /** Set by another node: the store has an older state, so that watching it continues nothing. */
+    bool isStoreBehind = false;
 };
 
 /** Lists and watches all objects of one kind. Callbacks run on the event loop. */
--- a/modules/freshness/config_cache.cpp
+++ b/modules/freshness/config_cache.cpp
@@ -19,6 +19,7 @@
 
 bool ConfigCache::adopt(RoutingConfig config, TimePoint now)
 {
+    m_storedVersion = config.version;
     if (m_table && config.version <= m_table->config().version)
         return false;
     m_table = std::make_shared<const RouteTable>(std::move(config));
@@ -28,6 +29,8 @@
 
 void ConfigCache::confirm(TimePoint at)
 {
+    if (isStoreBehind())
+        return;
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at;
 }
 
--- a/modules/freshness/config_cache.h
+++ b/modules/freshness/config_cache.h
@@ -30,15 +30,22 @@
     void setTrust(KeyTrustPolicy trust) { m_trust = trust; }
 
     /**
-     * Activates a version read from the store if it is newer than the active one.
+     * Activates a version read from the store if it is newer than the active one. A store that was
+     * restored from an older copy has an older one until it is written again.
      *
      * @return true when it was activated, false when the active version is the same or newer.
      */
     bool adopt(RoutingConfig config, TimePoint now);
 
-    /** Records that no version newer than the active one existed at @p at. */
+    /**
+     * Records that no version newer than the active one existed at @p at. Without effect while the
+     * store has an older one: newer ones than the active one may have been lost with it.
+     */
     void confirm(TimePoint at);
 
+    /** @return true while the store has an older version than the active one. */
+    bool isStoreBehind() const { return m_table && m_storedVersion < m_table->config().version; }
+
     /** @return the active route table, or nullptr before the first version. */
     const std::shared_ptr<const RouteTable> &table() const { return m_table; }
 
@@ -54,6 +61,7 @@
 private:
     KeyTrustPolicy m_trust;
     std::shared_ptr<const RouteTable> m_table;
+    std::uint64_t m_storedVersion = 0;
     TimePoint m_adoptedAt{};
     std::optional<TimePoint> m_confirmedAt;
 };
--- a/modules/freshness/state_log.cpp
+++ b/modules/freshness/state_log.cpp
@@ -73,6 +73,19 @@
     }
 }
 
+void StateLog::passOnAgain(const std::string &name)
+{
+    const auto it = m_records.find(name);
+    if (it != m_records.end())
+        it->second.changedAt = 0;
+}
+
+const StateObject *StateLog::find(const std::string &name) const
+{
+    const auto it = m_records.find(name);
+    return it == m_records.end() ? nullptr : &it->second.object;
+}
+
 StateChanges StateLog::since(std::optional<StatePosition> from) const
 {
     StateChanges changes;
--- a/modules/freshness/state_log.h
+++ b/modules/freshness/state_log.h
@@ -64,6 +64,12 @@
      */
     StateChanges since(std::optional<StatePosition> from) const;
 
+    /** Passes an object on with the next commit that stages it, even if it is the same by then. */
+    void passOnAgain(const std::string &name);
+
+    /** @return the committed object, also a removed one, or nullptr. */
+    const StateObject *find(const std::string &name) const;
+
     /** @return the era of the state. */
     std::uint64_t era() const { return m_position.era; }
 
--- a/modules/freshness/tests/config_cache_test.cpp
+++ b/modules/freshness/tests/config_cache_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(distrustsKeysWithoutConfirmation);
     CPPUNIT_TEST(trustsKeysIndefinitelyWhenFailOpen);
     CPPUNIT_TEST(ignoresOlderConfirmation);
+    CPPUNIT_TEST(olderVersionInTheStoreConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +69,25 @@
         cache.confirm(kStart);
         CPPUNIT_ASSERT(*cache.age(kStart + seconds(3)) == seconds(1));
     }
+
+    // Guards against a revoked key that stays trusted because the store lost its revocation.
+    void olderVersionInTheStoreConfirmsNothing()
+    {
+        ConfigCache cache(KeyTrustPolicy{true, seconds(5)});
+        RoutingConfig config;
+        config.version = 11;
+        cache.adopt(config, kStart);
+        cache.confirm(kStart);
+        config.version = 4;
+        CPPUNIT_ASSERT(!cache.adopt(config, kStart + seconds(1)));
+        CPPUNIT_ASSERT(cache.isStoreBehind());
+        cache.confirm(kStart + seconds(4));
+        CPPUNIT_ASSERT(!cache.mayTrustKeys(kStart + seconds(4)));
+        config.version = 11;
+        cache.adopt(config, kStart + seconds(5));
+        cache.confirm(kStart + seconds(5));
+        CPPUNIT_ASSERT(cache.mayTrustKeys(kStart + seconds(6)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigCacheTest);
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -66,6 +66,12 @@
 
     /** Called before the first list after the store has restarted from an older copy. */
     virtual void onStoreRestored() {}
+
+    /** @return true if this node knows a newer state of the object than @p item. */
+    virtual bool isOutdated(const FeedItem<Value> & /*item*/) const { return false; }
+
+    /** @return true while the store has an older state than this node knows. */
+    virtual bool isStoreBehind() const { return false; }
 };
 
 /**
@@ -236,6 +242,7 @@
         }
         m_isListing = false;
         m_isRelayed = result.age.has_value();
+        m_isStoreBehind = result.isStoreBehind;
         const StatePosition before = std::exchange(m_position, m_listPosition);
         logEvent(LogLevel::Info, "state_listed",
                  {{"kind", m_kind},
@@ -283,6 +290,10 @@
     {
         const TimePoint start = m_loop.now();
         const auto relayWatch = m_feed.chooseRelay();
+        if (!relayWatch && std::exchange(m_isStoreBehind, false)) {
+            list();
+            return;
+        }
         const Duration wait = relayWatch ? *relayWatch : watchDuration(start);
         m_isRelayed = relayWatch.has_value();
         const auto call = beginCall(wait);
@@ -329,6 +340,7 @@
             return;
         }
         recordSuccess();
+        m_isStoreBehind = result.isStoreBehind;
         if (isOtherEra(result)) {
             relist();
             return;
@@ -439,6 +451,8 @@
     /** Era that another follower has seen during a list. */
     std::optional<std::uint64_t> m_eraToList;
     bool m_isRelayed = false;
+    /** The reader that was asked last knows more than the store. */
+    bool m_isStoreBehind = false;
     TimerId m_nextCallTimer = 0;
     StatePosition m_position;
     TimePoint m_listStart{};
--- a/servers/state/recording_sink.h
+++ b/servers/state/recording_sink.h
@@ -8,7 +8,10 @@
 
 namespace hawthornslip {
 
-/** Records the state that a follower reads, so that it can be passed on, before handling it. */
+/**
+ * Records the state that a follower reads, so that it can be passed on, before handling it. Of an
+ * object that the store has in an older state than this node, the newer one is passed on.
+ */
 template <typename Value>
 class RecordingSink : public FollowerSink<Value>
 {
@@ -23,14 +26,17 @@
     void onList(const std::vector<FeedItem<Value>> &items) override
     {
         std::vector<StateObject> objects;
-        for (const auto &it : items)
+        for (const auto &it : items) {
+            passOnIfBehind(it);
             objects.push_back(toObject(it));
+        }
         m_relay.log(m_kind).stageList(std::move(objects));
         m_sink.onList(items);
     }
 
     void onChange(const FeedItem<Value> &item) override
     {
+        passOnIfBehind(item);
         m_relay.log(m_kind).stage(toObject(item));
         m_sink.onChange(item);
     }
@@ -38,15 +44,29 @@
     void onConfirmed(TimePoint at, StatePosition position) override
     {
         m_sink.onConfirmed(at, position);
-        m_relay.commit(m_kind, position, at);
+        // What may have been lost with the store is not confirmed to other nodes either.
+        const bool isBehind = m_sink.isStoreBehind();
+        m_relay.setStoreBehind(m_kind, isBehind);
+        m_relay.commit(m_kind, position, isBehind ? TimePoint{} : at);
     }
 
     void onStoreRecovered() override { m_sink.onStoreRecovered(); }
     void onStoreRestored() override { m_sink.onStoreRestored(); }
 
 private:
-    static StateObject toObject(const FeedItem<Value> &item)
+    /** Followers that have read the older state themselves wait for the newer one. */
+    void passOnIfBehind(const FeedItem<Value> &item)
     {
+        if (m_sink.isStoreBehind())
+            m_relay.log(m_kind).passOnAgain(item.name);
+    }
+
+    StateObject toObject(const FeedItem<Value> &item) const
+    {
+        const StateObject *known =
+                m_sink.isOutdated(item) ? m_relay.log(m_kind).find(item.name) : nullptr;
+        if (known != nullptr && !known->removed)
+            return *known;
         return {item.name, item.removed, item.encoded};
     }
 
--- a/servers/state/relayed_feed.h
+++ b/servers/state/relayed_feed.h
@@ -199,6 +199,7 @@
         for (const auto &it : reply.changes.objects)
             result.items.push_back(m_decode(it));
         result.revision = position.revision;
+        result.isStoreBehind = reply.isStoreBehind;
         m_position = position;
         // Includes the whole time that the call took outside the reader, so that the confirmation
         // never appears younger than it is.
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -29,6 +29,12 @@
     m_state.applyConfig(item);
 }
 
+bool RouterState::ConfigSink::isOutdated(const FeedItem<RoutingConfig> &item) const
+{
+    const auto &table = m_state.m_config.table();
+    return table && item.value && item.value->version < table->config().version;
+}
+
 void RouterState::UpstreamSink::onList(const std::vector<FeedItem<UpstreamEntry>> &items)
 {
     std::vector<UpstreamEntry> entries;
@@ -66,8 +72,12 @@
         return;
     }
     const std::uint64_t before = m_config.table() ? m_config.table()->config().version : 0;
-    if (!m_config.adopt(*item.value, m_loop.now()))
+    if (!m_config.adopt(*item.value, m_loop.now())) {
+        if (m_config.isStoreBehind())
+            logEvent(LogLevel::Warning, "store_has_older_config",
+                     {{"version", item.value->version}, {"in_force", before}});
         return;
+    }
     const auto &config = m_config.table()->config();
     m_metrics.gauge(metric::kConfigGeneration, {}, static_cast<double>(config.version));
     logEvent(LogLevel::Info, "config_in_force",
--- a/servers/state/router_state.h
+++ b/servers/state/router_state.h
@@ -44,6 +44,8 @@
         void onList(const std::vector<FeedItem<RoutingConfig>> &items) override;
         void onChange(const FeedItem<RoutingConfig> &item) override;
         void onConfirmed(TimePoint at, StatePosition) override { m_state.m_config.confirm(at); }
+        bool isOutdated(const FeedItem<RoutingConfig> &item) const override;
+        bool isStoreBehind() const override { return m_state.m_config.isStoreBehind(); }
 
     private:
         RouterState &m_state;
--- a/servers/state/state_codec.cpp
+++ b/servers/state/state_codec.cpp
@@ -13,6 +13,7 @@
     message.set_complete(reply.changes.isComplete);
     message.set_age(static_cast<std::uint64_t>(reply.age.count()));
     message.set_held(static_cast<std::uint64_t>(reply.held.count()));
+    message.set_store_behind(reply.isStoreBehind);
     for (const auto &it : reply.changes.objects) {
         auto *object = message.add_objects();
         object->set_name(it.name);
@@ -34,6 +35,7 @@
     reply.changes.position = {message.era(), message.revision()};
     reply.changes.isComplete = message.complete();
     reply.age = Duration(static_cast<std::int64_t>(message.age()));
+    reply.isStoreBehind = message.store_behind();
     reply.held = Duration(static_cast<std::int64_t>(message.held()));
     for (const auto &it : message.objects())
         reply.changes.objects.push_back({it.name(), it.removed(), it.encoded()});
--- a/servers/state/state_codec.h
+++ b/servers/state/state_codec.h
@@ -16,6 +16,8 @@
     Duration age{0};
     /** How long the answering node held the call. */
     Duration held{0};
+    /** The store has an older state than this reply. */
+    bool isStoreBehind = false;
 };
 
 /** @return the bytes of @p reply on the wire. */
--- a/servers/state/state_relay.cpp
+++ b/servers/state/state_relay.cpp
@@ -20,6 +20,8 @@
 // Calls of one kind that are held at a time; a failure domain has fewer nodes.
 constexpr std::size_t kMaxHeldCalls = 1024;
 constexpr Duration kMaxWait = seconds(10);
+// Longest age that a reply can carry.
+constexpr Duration kMaxAge = seconds(3600);
 // Followers ask again within a second or two.
 constexpr Duration kFollowerTimeout = seconds(5);
 
@@ -161,7 +163,8 @@
     const TimePoint now = m_loop.now();
     StateReply answer;
     answer.changes = state.log.since(call.after);
-    answer.age = std::max(Duration(0), now - state.log.confirmedAt());
+    answer.age = std::clamp<Duration>(now - state.log.confirmedAt(), Duration(0), kMaxAge);
+    answer.isStoreBehind = state.isStoreBehind;
     answer.held = now - call.arrivedAt;
     const std::string body = encodeState(answer);
     call.writer->begin(kOk, {{"Content-Type", "application/x-protobuf"}}, body.size());
--- a/servers/state/state_relay.h
+++ b/servers/state/state_relay.h
@@ -41,6 +41,9 @@
     /** Commits the staged objects and answers the held calls. Parameters as of StateLog. */
     void commit(StateKind kind, StatePosition position, TimePoint confirmedAt);
 
+    /** Records whether the store has an older state of @p kind than this node passes on. */
+    void setStoreBehind(StateKind kind, bool behind) { state(kind).isStoreBehind = behind; }
+
     /** @return true when other nodes have asked this one for state in the last seconds. */
     bool hasFollowers() const;
 
@@ -71,6 +74,7 @@
     struct KindState
     {
         StateLog log;
+        bool isStoreBehind = false;
         std::function<bool()> isServing;
         HeldCalls held;
     };
--- a/tests/servers/state/state_relay_test.cpp
+++ b/tests/servers/state/state_relay_test.cpp
@@ -158,27 +158,41 @@
 
     void onList(const std::vector<FeedItem<int>> &items) override
     {
-        values.clear();
+        if (!keepsNewest)
+            values.clear();
         for (const auto &it : items)
             onChange(it);
     }
     void onChange(const FeedItem<int> &item) override
     {
+        isBehind = isOutdated(item);
+        if (isBehind)
+            return;
         wentBack = wentBack || (item.value && *item.value < values[item.name]);
         values[item.name] = item.value.value_or(0);
     }
     void onConfirmed(TimePoint at, StatePosition) override
     {
-        confirmedAt = std::max(confirmedAt, at);
+        if (!isBehind)
+            confirmedAt = std::max(confirmedAt, at);
         isFromFuture = isFromFuture || at > m_loop.now();
     }
     void onStoreRestored() override { ++restores; }
+    bool isOutdated(const FeedItem<int> &item) const override
+    {
+        const auto known = values.find(item.name);
+        return keepsNewest && item.value && known != values.end() && *item.value < known->second;
+    }
+    bool isStoreBehind() const override { return isBehind; }
 
     std::map<std::string, int> values;
     TimePoint confirmedAt{};
     bool wentBack = false;
     bool isFromFuture = false;
     int restores = 0;
+    /** Lower values replace no higher ones, as with versions of the configuration. */
+    bool keepsNewest = false;
+    bool isBehind = false;
 
 private:
     ManualLoop &m_loop;
@@ -242,6 +256,13 @@
             it->follower.start();
     }
 
+    /** Starts all nodes but the last one. */
+    void startAllButOne()
+    {
+        for (std::size_t i = 0; i + 1 < m_nodes.size(); ++i)
+            m_nodes[i]->follower.start();
+    }
+
     RelayNode &node(const std::string &name)
     {
         return **std::find_if(m_nodes.begin(), m_nodes.end(),
@@ -441,6 +462,8 @@
     CPPUNIT_TEST(changesUnderReusedRevisionsAreNotMissed);
     CPPUNIT_TEST(storeRestoredTwiceIsFollowed);
     CPPUNIT_TEST(nodeCutOffOverARestoreCatchesUp);
+    CPPUNIT_TEST(newNodeGetsTheNewestVersionThatItsReaderKnows);
+    CPPUNIT_TEST(nothingIsConfirmedWhileTheStoreHasAnOlderVersion);
     CPPUNIT_TEST(unknownKindIsNotFound);
     CPPUNIT_TEST_SUITE_END();
 
@@ -678,6 +701,54 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{12}, cluster.knowing("a", 0));
     }
 
+    // Guards against a node that serves the configuration of a copy because it starts before the
+    // operator has written the newest one again.
+    void newNodeGetsTheNewestVersionThatItsReaderKnows()
+    {
+        RelayCluster cluster(12);
+        for (const auto &it : cluster.nodes())
+            it->known.keepsNewest = true;
+        cluster.store.put("a", 4);
+        cluster.startAllButOne();
+        cluster.loop.advance(seconds(10));
+        cluster.store.copy();
+        cluster.store.put("a", 7);
+        cluster.loop.advance(seconds(1));
+        restoreAfterOutage(cluster);
+        cluster.nodes().back()->follower.start();
+        cluster.loop.advance(seconds(1));
+        CPPUNIT_ASSERT(cluster.nodes().back()->feed.isRelayed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, cluster.knowing("a", 7));
+        cluster.store.put("a", 7);
+        cluster.store.put("a", 9);
+        cluster.loop.advance(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, cluster.knowing("a", 9));
+    }
+
+    // Guards against API keys that stay trusted though the version that revoked them may be lost.
+    void nothingIsConfirmedWhileTheStoreHasAnOlderVersion()
+    {
+        RelayCluster cluster(12);
+        for (const auto &it : cluster.nodes())
+            it->known.keepsNewest = true;
+        cluster.store.put("a", 4);
+        cluster.startAllButOne();
+        cluster.loop.advance(seconds(10));
+        cluster.store.copy();
+        cluster.store.put("a", 7);
+        cluster.loop.advance(seconds(1));
+        restoreAfterOutage(cluster);
+        const TimePoint restoredAt = cluster.loop.now() - seconds(10);
+        cluster.nodes().back()->follower.start();
+        cluster.loop.advance(seconds(1));
+        for (const auto &it : cluster.nodes())
+            CPPUNIT_ASSERT(it->known.confirmedAt < restoredAt);
+        cluster.store.put("a", 7);
+        cluster.loop.advance(seconds(4));
+        for (const auto &it : cluster.nodes())
+            CPPUNIT_ASSERT(it->known.confirmedAt > restoredAt);
+    }
+
     void unknownKindIsNotFound()
     {
         RelayCluster cluster(1);
