--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -119,7 +119,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:80"), decoded.value->address);
         CPPUNIT_ASSERT(!decoded.value->draining);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decoded.value->bornMs);
-        body["born"] = 1767385627000;
+        body["born"] = 1767385627000U;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1767385627000},
                              decodeUpstream("i-1", body).value->bornMs);
         body["born"] = "early";
