Count a domain's demand once when another node sends its sum

What could happen: when the node that sends a domain's sum was replaced, all other domains took its counters, of as long as it runs, for new demand. Their share of limits that upstreams name fell to nearly nothing for seconds, and requests there were held or refused. A late copy of the old sender's sum made it happen again.

The first sum of another sender is a baseline, a sum of the sender just replaced is ignored, and a new sender reports all loads at first. PeerLoadsTest::demandOfAReplacedSummarizerIsCountedOnce fails without the change.

--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -19,9 +19,17 @@
     Peer &peer = it->second;
     if (!isFirst && peer.boot == report.boot && report.sequence <= peer.sequence)
         return;
-    // Counters of a new incarnation start at zero, so the first demand counters are all new.
-    if (!isFirst && peer.boot != report.boot)
+    const bool isOtherSender = !isFirst && peer.boot != report.boot;
+    // A late copy of a sum whose sender another node has replaced.
+    if (isOtherSender && report.isSummary && report.boot == peer.replacedBoot)
+        return;
+    // Counters of a new incarnation start at zero, so the first demand counters are all new. Those
+    // of another node that sends the sum of its domain have been counted for as long as it runs.
+    const bool isBaseline = isFirst || (isOtherSender && report.isSummary);
+    if (isOtherSender) {
         subtractLoads(peer);
+        peer.replacedBoot = peer.boot;
+    }
     peer.boot = report.boot;
     peer.sequence = report.sequence;
     peer.heardAt = now;
@@ -30,7 +38,7 @@
     for (const auto &[service, demand] : report.demands) {
         NodeDemand &last = peer.demands[service];
         // The first report of a peer is only the baseline for later ones.
-        if (!isFirst)
+        if (!isBaseline)
             m_sink.onPeerDemand(service, {demand.tolerantTokens - last.tolerantTokens,
                                           demand.sensitiveTokens - last.sensitiveTokens,
                                           demand.requests - last.requests,
--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -73,6 +73,8 @@
     struct Peer
     {
         std::uint64_t boot = 0;
+        /** Boot of the node that sent a domain's sum before. */
+        std::uint64_t replacedBoot = 0;
         std::uint64_t sequence = 0;
         TimePoint heardAt{};
         std::unordered_map<std::uint64_t, NodeLoad> loads;
--- a/modules/peers/tests/peer_loads_test.cpp
+++ b/modules/peers/tests/peer_loads_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(firstReportIsOnlyTheBaseline);
     CPPUNIT_TEST(silentPeerLoadIsSubtracted);
     CPPUNIT_TEST(restartedPeerStartsFromZero);
+    CPPUNIT_TEST(demandOfAReplacedSummarizerIsCountedOnce);
     CPPUNIT_TEST(filterRepeatsChangesAndRefreshesTheRest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -114,6 +115,25 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, sink.tokens[kUpstream]);
     }
 
+    // Guards against the demand of hours that counts as new when another node sends the sum.
+    void demandOfAReplacedSummarizerIsCountedOnce()
+    {
+        SumSink sink;
+        PeerLoads loads(sink);
+        const auto sum = [](std::uint64_t sequence, std::uint64_t demand, std::uint64_t boot) {
+            auto report = makeReport(sequence, 1, demand, boot);
+            report.isSummary = true;
+            return report;
+        };
+        loads.onReport(sum(1, 5000, 1), kStart);
+        loads.onReport(sum(2, 5100, 1), kStart);
+        loads.onReport(sum(1, 90000, 2), kStart);
+        loads.onReport(sum(3, 5200, 1), kStart);
+        loads.onReport(sum(2, 90010, 2), kStart);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{110}, sink.demand);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, sink.running[kUpstream]);
+    }
+
     // Guards against reports that grow with the number of upstreams, and against a lost report that
     // leaves a load wrong permanently.
     void filterRepeatsChangesAndRefreshesTheRest()
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -67,7 +67,11 @@
     const TimePoint now = m_parts.loop.now();
     for (const auto &[address, heardAt] : m_peers.lastHeard())
         peers.push_back({address, domainOf(address), now - heardAt});
+    const bool wasSummarizer = m_plan.isSummarizer;
     m_plan = planReports(m_address, m_domain, peers, m_planRound++);
+    // What was sent as an earlier summarizer is not known any more at the other domains.
+    if (m_plan.isSummarizer && !wasSummarizer)
+        m_summaryFilter = {};
 }
 
 FailureDomain LoadExchange::domainOf(const std::string &address) const
