Keep upstreams that had left out of use after a second restore

An upstream that had left and came back with a restored copy was used again while a second restore kept its entry in the list. The time until the platform drops the entry now starts anew with each restore. UpstreamDirectoryTest::upstreamThatLeftStaysOutAfterASecondRestore fails without it.

--- a/modules/upstreams/tests/upstream_directory_test.cpp
+++ b/modules/upstreams/tests/upstream_directory_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(endedUpstreamReturnsAfterRestart);
     CPPUNIT_TEST(listReplacesAll);
     CPPUNIT_TEST(upstreamThatLeftStaysUnusedAfterARestore);
+    CPPUNIT_TEST(upstreamThatLeftStaysOutAfterASecondRestore);
     CPPUNIT_TEST(drainingUpstreamStaysSoAfterARestore);
     CPPUNIT_TEST(restartedUpstreamIsUsedAfterARestore);
     CPPUNIT_TEST(upstreamThatTheCopyLacksStaysUntilItRegisters);
@@ -76,6 +77,20 @@
                              directory.usable("models", restoredAt + seconds(4)).at(0).id.value);
     }
 
+    // Guards against an upstream that had left and is used after a second restore.
+    void upstreamThatLeftStaysOutAfterASecondRestore()
+    {
+        UpstreamDirectory directory(DirectoryTimes{});
+        directory.replaceAll({makeEntry("a"), makeEntry("b")}, kStart);
+        directory.remove(UpstreamId("a"), kStart + seconds(5));
+        directory.expire(kStart + seconds(9));
+        directory.replaceAllRestored({makeEntry("a"), makeEntry("b")}, kStart + seconds(9));
+        directory.replaceAllRestored({makeEntry("a"), makeEntry("b")}, kStart + seconds(12));
+        const TimePoint later = kStart + seconds(14);
+        directory.expire(later);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("models", later).size());
+    }
+
     // Guards against new requests to an upstream whose draining state was lost with the store's.
     void drainingUpstreamStaysSoAfterARestore()
     {
--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -45,7 +45,8 @@
             continue;
         }
         const auto known = m_entries.find(it.id);
-        if (known != m_entries.end() && !known->second.removed)
+        const bool isPresent = known != m_entries.end() && !known->second.removed;
+        if (isPresent && !known->second.leftUntil)
             continue;
         Record record;
         record.entry = it;
