List again when a reader goes after the store was restored

A follower that reads from another node ignored the era that this node's other followers saw, and when its reader went it watched the store from a revision that had been given out again: changes were missed for up to 20 s.

--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -28,8 +28,13 @@
         wait = length;
         answer = std::move(done);
     }
+    std::optional<Duration> chooseRelay() override
+    {
+        return isRelayed ? std::optional<Duration>(milliseconds(500)) : std::nullopt;
+    }
 
     Done answer;
+    bool isRelayed = false;
     int lists = 0;
     int watches = 0;
     std::string listedAfter;
@@ -99,6 +104,7 @@
     CPPUNIT_TEST(listsAgainInAnotherEra);
     CPPUNIT_TEST(listsAgainAfterARefusalInAnotherEra);
     CPPUNIT_TEST(listsAgainWhenAnotherFollowerSeesAnEra);
+    CPPUNIT_TEST(listsAgainWhenTheReaderGoesAfterARestore);
     CPPUNIT_TEST(listAcrossTwoErasIsReadAgain);
     CPPUNIT_TEST(answerWithoutEraKeepsTheEra);
     CPPUNIT_TEST(wrongEraIsForgottenWithTheNextAnswer);
@@ -321,6 +327,20 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("a list of the earlier era", 2, m_feed.lists);
     }
 
+    // Guards against a node that loses its reader and watches the store from an earlier era.
+    void listsAgainWhenTheReaderGoesAfterARestore()
+    {
+        m_feed.isRelayed = true;
+        m_feed.answer(makeResultOf(1, 10));
+        m_follower->enterEra(2);
+        m_loop.advance(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(1, m_feed.lists);
+        m_feed.isRelayed = false;
+        m_feed.answer(makeError(FeedError::ReaderUnavailable));
+        m_loop.advance(milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.lists);
+    }
+
     void listAcrossTwoErasIsReadAgain()
     {
         auto page = makeResultOf(1, 10, 2);
