Send a complete list to a follower only when it asks for one

After a restore each reader answered all held calls with its complete list, which the followers drop before they ask for the list, all at the same moment: twice nodes x upstreams over one link. The tests of 40 gateways around a restored store pass as before; no test counts these bytes.

--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -329,7 +329,11 @@
             logEvent(
                     LogLevel::Info, "history_gone",
                     {{"kind", m_kind}, {"era", m_position.era}, {"revision", m_position.revision}});
-            list();
+            // A reader tells all of its followers at the same time.
+            if (m_isRelayed)
+                relist();
+            else
+                list();
             return;
         }
         if (result.error == FeedError::ReaderUnavailable) {
--- a/servers/state/state_relay.cpp
+++ b/servers/state/state_relay.cpp
@@ -163,6 +163,9 @@
     const TimePoint now = m_loop.now();
     StateReply answer;
     answer.changes = state.log.since(call.after);
+    // The caller asks for the complete list in its turn; to all at once it would fill this link.
+    if (call.after && answer.changes.isComplete)
+        answer.changes.objects.clear();
     answer.age = std::clamp<Duration>(now - state.log.confirmedAt(), Duration(0), kMaxAge);
     answer.isStoreBehind = state.isStoreBehind;
     answer.held = now - call.arrivedAt;
