Read a reader's list when only this node takes the store for outdated

A node that had read the older configuration from the store itself, and then followed a reader which never had, got nothing more once the newest version was written again: no confirmation counted, and the node stayed unready until a higher version. It now reads the reader's list, once. FeedFollowerTest::listsAgainWhenOnlyThisNodeTakesTheStoreForOutdated fails without it.

--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -356,7 +356,13 @@
             m_sink.onChange(it);
         if (result.age) {
             confirm(m_loop.now() - *result.age);
-            watch();
+            // The reader took the newest version again before this node asked it.
+            const bool wasListed = std::exchange(m_isListedWhileBehind,
+                                                 !result.isStoreBehind && m_sink.isStoreBehind());
+            if (m_isListedWhileBehind && !wasListed)
+                relist();
+            else
+                watch();
             return;
         }
         const bool waited = m_loop.now() - start >= wait;
@@ -459,6 +465,8 @@
     bool m_isRelayed = false;
     /** The reader that was asked last knows more than the store. */
     bool m_isStoreBehind = false;
+    /** The reader was asked for its list as this node alone takes the store for outdated. */
+    bool m_isListedWhileBehind = false;
     TimerId m_nextCallTimer = 0;
     StatePosition m_position;
     TimePoint m_listStart{};
--- a/servers/state/recording_sink.h
+++ b/servers/state/recording_sink.h
@@ -52,6 +52,7 @@
 
     void onStoreRecovered() override { m_sink.onStoreRecovered(); }
     void onStoreRestored() override { m_sink.onStoreRestored(); }
+    bool isStoreBehind() const override { return m_sink.isStoreBehind(); }
 
 private:
     /** Followers that have read the older state themselves wait for the newer one. */
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -54,11 +54,13 @@
     }
     void onStoreRecovered() override { ++recoveries; }
     void onStoreRestored() override { ++restores; }
+    bool isStoreBehind() const override { return isBehind; }
 
     std::size_t items = 0;
     int changes = 0;
     int recoveries = 0;
     int restores = 0;
+    bool isBehind = false;
     TimePoint confirmed{};
     std::uint64_t revision = 0;
 };
@@ -105,6 +107,7 @@
     CPPUNIT_TEST(listsAgainAfterARefusalInAnotherEra);
     CPPUNIT_TEST(listsAgainWhenAnotherFollowerSeesAnEra);
     CPPUNIT_TEST(listsAgainWhenTheReaderGoesAfterARestore);
+    CPPUNIT_TEST(listsAgainWhenOnlyThisNodeTakesTheStoreForOutdated);
     CPPUNIT_TEST(listAcrossTwoErasIsReadAgain);
     CPPUNIT_TEST(answerWithoutEraKeepsTheEra);
     CPPUNIT_TEST(wrongEraIsForgottenWithTheNextAnswer);
@@ -341,6 +344,23 @@
         CPPUNIT_ASSERT_EQUAL(2, m_feed.lists);
     }
 
+    // Guards against a node that stays unready, as its new reader has nothing to tell.
+    void listsAgainWhenOnlyThisNodeTakesTheStoreForOutdated()
+    {
+        m_feed.isRelayed = true;
+        m_feed.answer(makeResultOf(1, 10));
+        m_sink.isBehind = true;
+        auto confirmation = makeResultOf(1, 12);
+        confirmation.age = milliseconds(1);
+        m_feed.answer(confirmation);
+        m_loop.advance(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(2, m_feed.lists);
+        m_feed.answer(confirmation);
+        m_feed.answer(confirmation);
+        m_loop.advance(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one list is enough", 2, m_feed.lists);
+    }
+
     void listAcrossTwoErasIsReadAgain()
     {
         auto page = makeResultOf(1, 10, 2);
