Correct comments and pages that no longer told the truth

Found in the read-through: a reader does not send its complete list to a follower that asks for changes of another era, and the fan-out of the sums had no reason beside it.

--- a/modules/peers/sum_tree.h
+++ b/modules/peers/sum_tree.h
@@ -18,7 +18,10 @@
  */
 inline constexpr std::size_t kSumCopies = 2;
 
-/** Number of nodes to which one node passes on a copy of a sum. */
+/**
+ * Number of nodes to which one node passes on a copy of a sum. More of them cost the node's link,
+ * and fewer make the way longer, on which each lost datagram costs a larger part of the domain.
+ */
 inline constexpr std::size_t kSumFanOut = 3;
 
 /**
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -290,7 +290,7 @@
     {
         const TimePoint start = m_loop.now();
         const auto relayWatch = m_feed.chooseRelay();
-        // A watch from an earlier era does not notice it, if its revision has been given out again.
+        // The store would not tell that it was restored if the revision has been given out again.
         const bool isOldEra = m_seenEra != 0 && m_position.era != 0 && m_seenEra != m_position.era;
         if (!relayWatch && (std::exchange(m_isStoreBehind, false) || isOldEra)) {
             list();
--- a/servers/state/state_relay.h
+++ b/servers/state/state_relay.h
@@ -19,9 +19,9 @@
 /**
  * Passes the shared state that this node reads from the store on to the other nodes of its failure
  * domain, over HTTP: `GET /state/KIND` returns the complete list, with
- * `?after=REVISION&era=ERA&wait_ms=N` the changes since a position; without an era, in the era of
- * this node. A call without changes, or before this node has read its own list, is held until the
- * store has confirmed the state once more or the wait is over.
+ * `?after=REVISION&era=ERA&wait_ms=N` the changes since a position, or that its history is gone;
+ * without an era, in the era of this node. A call without changes, or before this node has read its
+ * own list, is held until the store has confirmed the state once more or the wait is over.
  *
  * A node that follows another one, or has no contact with the store, refuses calls with 503, so
  * that its callers turn to another node. Each reply carries the age of its confirmation.
