--- a/review/standins/callers.cpp
+++ b/review/standins/callers.cpp
@@ -63,7 +63,7 @@
         call.headers.emplace_back("Authorization", "Bearer " + request.key);
     call.headers.insert(call.headers.end(), request.headers.begin(), request.headers.end());
     if (request.method == "POST")
-        call.body = "order " + request.attempt;
+        call.body = request.body.empty() ? "order " + request.attempt : request.body;
     call.connectTimeout = seconds(1);
     call.totalTimeout = request.timeLimit;
     call.reuseWithin = kReuseWithin;
--- a/review/standins/callers.h
+++ b/review/standins/callers.h
@@ -18,6 +18,8 @@
     std::string path;
     std::string key;
     std::string attempt;
+    /** Sent with POST; it names the attempt when it is empty. */
+    std::string body;
     /** Headers besides those of every request. */
     HttpHeaders headers;
     Duration timeLimit = milliseconds(3000);
--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -58,6 +58,12 @@
             {"born", unixMillis()}};
 }
 
+bool Worker::failsNext()
+{
+    constexpr int kTen = 10;
+    return m_runs++ % kTen < m_failsOfTen;
+}
+
 HttpHeaders Worker::answerHeaders(const std::string &attempt) const
 {
     HttpHeaders headers = {{"X-Hawthornslip-Attempt-Id", attempt}};
@@ -84,15 +90,15 @@
         writer->end();
         return nullptr;
     }
-    m_onRun({m_id, attempt, request.path, headerOf(request, "x-hawthornslip-tenant"),
+    m_onRun({m_id, attempt, request.path, headerOf(request, "x-hawthornslip-tenant"), request.body,
              m_loop.now()});
     m_running.insert(writer);
     headers.emplace_back("X-Hawthornslip-Response-Stamp", "stamp-" + attempt);
-    m_loop.after(m_work, [this, headers, attempt, writer] {
+    m_loop.after(m_work, [this, headers, attempt, writer, fails = failsNext()] {
         if (m_running.erase(writer) == 0)
             return;
-        const std::string body = "done " + attempt;
-        writer->begin(200, headers, body.size());
+        const std::string body = (fails ? "failed " : "done ") + attempt;
+        writer->begin(fails ? 503 : 200, headers, body.size());
         writer->write(body);
         writer->end();
     });
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -18,6 +18,7 @@
     std::string attempt;
     std::string path;
     std::string tenant;
+    std::string body;
     TimePoint at{};
 };
 
@@ -35,6 +36,12 @@
     /** Ends as a process does that exits: its port and its connections are closed. */
     void exit();
 
+    /**
+     * Sets how many of each ten requests it fails from now on: it runs them, and then answers 503
+     * without saying that it has not run them.
+     */
+    void failOfTen(int requests) { m_failsOfTen = requests; }
+
     /** From now on all answers say that the worker leaves. */
     void sayLeaving() { m_saysLeaving = true; }
 
@@ -52,6 +59,7 @@
     void onBadInput(int, std::string_view) override {}
 
 private:
+    bool failsNext();
     HttpHeaders answerHeaders(const std::string &attempt) const;
 
     AsioEventLoop &m_loop;
@@ -62,6 +70,8 @@
     std::uint16_t m_port = 0;
     bool m_saysLeaving = false;
     bool m_hasExited = false;
+    int m_failsOfTen = 0;
+    int m_runs = 0;
     /** Of the requests that it works on. */
     std::set<std::shared_ptr<ResponseWriter>> m_running;
 };
