--- a/review/standins/record.cpp
+++ b/review/standins/record.cpp
@@ -9,7 +9,8 @@
     , m_start(loop.now())
 {
     // Other processes of a script append to the file.
-    std::ofstream(path, std::ios::trunc);
+    m_file.open(path, std::ios::trunc);
+    m_file.close();
     m_file.open(path, std::ios::app);
 }
 
