Log whether a removed upstream stays in use

A request that reaches an upstream after its removal could not be told from one that was sent while the removal was still unknown: the log line of the removal did not say whether the entry counts as expired in an outage of the store, which keeps the upstream in use.

upstream_removed now has may_register_again. No decision changes.

--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -110,11 +110,13 @@
     ++m_revision;
 }
 
-void UpstreamDirectory::remove(const UpstreamId &id, TimePoint now)
+bool UpstreamDirectory::remove(const UpstreamId &id, TimePoint now)
 {
     const auto it = m_entries.find(id);
-    if (it != m_entries.end())
-        markRemoved(it->second, now);
+    if (it == m_entries.end())
+        return false;
+    markRemoved(it->second, now);
+    return it->second.mayReregister;
 }
 
 void UpstreamDirectory::markRemoved(Record &record, TimePoint now)
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -69,8 +69,12 @@
     /** Adds or updates an entry. */
     void put(const UpstreamEntry &entry, TimePoint now);
 
-    /** Marks an entry as removed. */
-    void remove(const UpstreamId &id, TimePoint now);
+    /**
+     * Marks an entry as removed.
+     *
+     * @return true if it may have expired in an outage of the store, so that it stays in use.
+     */
+    bool remove(const UpstreamId &id, TimePoint now);
 
     /** Records that this node can reach the store again after an outage. */
     void onStoreRecovered(TimePoint now) { m_storeRecoveredAt = now; }
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -100,12 +100,13 @@
                   {"draining", item.value->draining}});
         return;
     }
+    const bool mayReregister = m_upstreams.remove(UpstreamId(item.name), now);
     if (!item.removed)
         logEvent(LogLevel::Warning, "upstream_entry_unusable",
                  {{"upstream", item.name}, {"fault", item.fault}});
     else
-        logEvent(LogLevel::Info, "upstream_removed", {{"upstream", item.name}});
-    m_upstreams.remove(UpstreamId(item.name), now);
+        logEvent(LogLevel::Info, "upstream_removed",
+                 {{"upstream", item.name}, {"may_register_again", mayReregister}});
 }
 
 void RouterState::notifyChanged()
