Do not take a cut watch for an outage of the store

Cause: the first answer after any failed call counted as the end of an outage of the store, in which entries of sound upstreams expire. Entries removed within 2.2 s after it stayed in use, though a watch that is cut off says nothing about the store.

Change: StoreContact sees the calls of all followers. The store was away only if a call that began after the first failure failed too; answers with 429 or 410 are answers. The directory keeps removed upstreams in use only if that time is long enough for an entry to expire, which follows from the heartbeat interval.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -212,6 +212,9 @@
             upstreamTimes(m_settings), randomSeed());
     m_nodeFollower = std::make_unique<FeedFollower<NodeEntry>>(
             "nodes", *m_nodeFeed, m_nodeSink, m_loop, m_metrics, nodeTimes(), randomSeed());
+    m_configFollower->shareContact(m_storeContact);
+    m_upstreamFollower->shareContact(m_storeContact);
+    m_nodeFollower->shareContact(m_storeContact);
     m_relay.setServing(StateKind::Config, [this] {
         return !m_configFeed->isRelayed() && !m_configFollower->isFailing();
     });
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -70,6 +70,7 @@
     LoadExchange m_exchange;
     StateReaders m_readers;
     StateRelay m_relay;
+    StoreContact m_storeContact;
     RecordingSink<RoutingConfig> m_configSink;
     RecordingSink<UpstreamEntry> m_upstreamSink;
     RecordingSink<NodeEntry> m_nodeSink;
--- a/modules/upstreams/tests/upstream_directory_test.cpp
+++ b/modules/upstreams/tests/upstream_directory_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(excludesDrainingUpstreams);
     CPPUNIT_TEST(removedUpstreamIsOnlyAFallback);
     CPPUNIT_TEST(removedEntriesStayUsableDuringReregistration);
+    CPPUNIT_TEST(shortOutageExpiresNoEntries);
     CPPUNIT_TEST(leavingUpstreamReturnsAfterRestart);
     CPPUNIT_TEST(endedUpstreamIsOnlyAFallback);
     CPPUNIT_TEST(endedUpstreamReturnsIfItIsStillListed);
@@ -157,19 +158,35 @@
         UpstreamDirectory directory(DirectoryTimes{seconds(2), milliseconds(2200)});
         directory.put(makeEntry("a"), kStart);
         directory.put(makeEntry("b"), kStart);
-        directory.onStoreRecovered(kStart + seconds(10));
+        directory.onStoreRecovered(kStart + seconds(10), seconds(6));
         directory.replaceAll({makeEntry("b")}, kStart + seconds(10));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2},
                              directory.usable("models", kStart + seconds(11)).size());
         directory.put(makeEntry("a"), kStart + seconds(12));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2},
                              directory.usable("models", kStart + seconds(15)).size());
-        directory.onStoreRecovered(kStart + seconds(30));
+        directory.onStoreRecovered(kStart + seconds(30), seconds(6));
         directory.replaceAll({makeEntry("b")}, kStart + seconds(30));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                              directory.usable("models", kStart + seconds(33)).size());
     }
 
+    // Guards against requests to an upstream that has left, as the store was out of reach for a
+    // moment in which no entry can have expired.
+    void shortOutageExpiresNoEntries()
+    {
+        const DirectoryTimes times;
+        UpstreamDirectory directory(times);
+        directory.replaceAll({makeEntry("a"), makeEntry("b")}, kStart);
+        const Duration shortest = 2 * times.heartbeat;
+        directory.onStoreRecovered(kStart, shortest - milliseconds(1));
+        CPPUNIT_ASSERT(!directory.remove(UpstreamId("a"), kStart));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("models", kStart).size());
+        directory.onStoreRecovered(kStart, shortest);
+        CPPUNIT_ASSERT(directory.remove(UpstreamId("b"), kStart));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), directory.usable("models", kStart).at(0).id.value);
+    }
+
     // Guards against excluding an upstream forever because it once left its address.
     void leavingUpstreamReturnsAfterRestart()
     {
--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -119,6 +119,13 @@
     return it->second.mayReregister;
 }
 
+void UpstreamDirectory::onStoreRecovered(TimePoint now, Duration away)
+{
+    // The last heartbeat before the outage may have been almost one interval ago.
+    if (away >= (kMissedHeartbeats - 1) * m_times.heartbeat)
+        m_storeRecoveredAt = now;
+}
+
 void UpstreamDirectory::markRemoved(Record &record, TimePoint now)
 {
     if (record.removed)
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -76,8 +76,13 @@
      */
     bool remove(const UpstreamId &id, TimePoint now);
 
-    /** Records that this node can reach the store again after an outage. */
-    void onStoreRecovered(TimePoint now) { m_storeRecoveredAt = now; }
+    /**
+     * Records that the store answers this node again.
+     *
+     * @param away longest time that the store may have been away. Entries expire only in an outage
+     *        in which an upstream could renew its entry none of the times that the platform waits.
+     */
+    void onStoreRecovered(TimePoint now, Duration away);
 
     /** Records a response which shows that @p id is draining or no longer has its address. */
     void markLeaving(const UpstreamId &id);
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -5,6 +5,7 @@
 #include "core/interfaces/state_feed.h"
 #include "core/logger.h"
 #include "core/metric_names.h"
+#include "modules/freshness/store_contact.h"
 
 #include <algorithm>
 #include <functional>
@@ -61,8 +62,12 @@
      */
     virtual void onConfirmed(TimePoint at, StatePosition position) = 0;
 
-    /** Called when the store answers again after a failed call. */
-    virtual void onStoreRecovered() {}
+    /**
+     * Called when the store answers again after a failed call.
+     *
+     * @param away longest time that the store may have been away; zero if only calls were lost.
+     */
+    virtual void onStoreRecovered(Duration /*away*/) {}
 
     /** Called before the first list after the store has restarted from an older copy. */
     virtual void onStoreRestored() {}
@@ -112,6 +117,9 @@
         retry([this] { watch(); }, FeedError::Unavailable);
     }
 
+    /** Shares what all followers of the same store observe of it; @p contact must outlive this. */
+    void shareContact(StoreContact &contact) { m_contact = &contact; }
+
     /** Sets the callback for the first failed call after a successful one. */
     void onContactLost(EventLoop::Task task) { m_contactLost = std::move(task); }
 
@@ -376,10 +384,13 @@
     std::uint64_t beginCall(Duration wait)
     {
         const std::uint64_t call = ++m_callId;
+        m_callStart = m_loop.now();
         m_overdueTimer = m_loop.after(wait + m_times.overdueAfter, [this, call] {
             if (call != m_callId)
                 return;
             ++m_callId;
+            if (!m_isRelayed)
+                m_contact->onFailed(m_callStart, m_callStart, m_loop.now());
             m_metrics.count(metric::kStoreCalls, {{"duty", m_kind}, {"result", "overdue"}});
             const auto again = m_isListing ? &FeedFollower::resumeList : &FeedFollower::watch;
             retry([this, again] { (this->*again)(); }, FeedError::Unavailable);
@@ -401,6 +412,8 @@
         if (result.era && !m_isRelayed && std::exchange(m_seenEra, *result.era) != *result.era &&
             m_eraSeen)
             m_eraSeen(*result.era);
+        if (!m_isRelayed)
+            recordContact(error);
         m_metrics.count(metric::kStoreCalls,
                         {{"duty", m_kind}, {"result", nameOf(kFeedErrorNames, error)}});
         if (error != FeedError::None && error != FeedError::HistoryGone && m_failures == 0)
@@ -411,12 +424,22 @@
         return true;
     }
 
+    void recordContact(FeedError error)
+    {
+        const TimePoint now = m_loop.now();
+        if (error == FeedError::Unavailable)
+            m_contact->onFailed(m_callStart, now, now);
+        else
+            m_contact->onAnswered(now);
+    }
+
     void recordSuccess()
     {
         if (m_failures > 0) {
+            const Duration away = m_contact->awaySince(m_failingSince);
             logEvent(LogLevel::Info, "state_contact_regained",
-                     {{"kind", m_kind}, {"failures", m_failures}});
-            m_sink.onStoreRecovered();
+                     {{"kind", m_kind}, {"failures", m_failures}, {"away_ms", toMillis(away)}});
+            m_sink.onStoreRecovered(away);
         }
         const bool isRegained = std::exchange(m_failures, 0) > 0;
         if (isRegained && m_contactRegained)
@@ -430,6 +453,8 @@
         const Duration pause =
                 isDeferred ? kDeferredBackoff : std::min<Duration>(backoff, m_times.maxBackoff);
         std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+        if (m_failures == 0)
+            m_failingSince = m_loop.now();
         if (m_failures++ == 0 && m_contactLost)
             m_contactLost();
         const bool relist = error == FeedError::Malformed || error == FeedError::HistoryGone;
@@ -457,6 +482,10 @@
     TimerId m_overdueTimer = 0;
     bool m_isListing = false;
     std::uint32_t m_failures = 0;
+    TimePoint m_failingSince{};
+    TimePoint m_callStart{};
+    StoreContact m_ownContact;
+    StoreContact *m_contact = &m_ownContact;
     std::function<void(std::uint64_t)> m_eraSeen;
     /** Era of the store's last answer to any follower. */
     std::uint64_t m_seenEra = 0;
--- a/servers/state/recording_sink.h
+++ b/servers/state/recording_sink.h
@@ -50,7 +50,7 @@
         m_relay.commit(m_kind, position, isBehind ? TimePoint{} : at);
     }
 
-    void onStoreRecovered() override { m_sink.onStoreRecovered(); }
+    void onStoreRecovered(Duration away) override { m_sink.onStoreRecovered(away); }
     void onStoreRestored() override { m_sink.onStoreRestored(); }
     bool isStoreBehind() const override { return m_sink.isStoreBehind(); }
 
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -58,9 +58,9 @@
     m_state.notifyChanged();
 }
 
-void RouterState::UpstreamSink::onStoreRecovered()
+void RouterState::UpstreamSink::onStoreRecovered(Duration away)
 {
-    m_state.m_upstreams.onStoreRecovered(m_state.m_loop.now());
+    m_state.m_upstreams.onStoreRecovered(m_state.m_loop.now(), away);
 }
 
 void RouterState::applyConfig(const FeedItem<RoutingConfig> &item)
--- a/servers/state/router_state.h
+++ b/servers/state/router_state.h
@@ -60,7 +60,7 @@
         void onList(const std::vector<FeedItem<UpstreamEntry>> &items) override;
         void onChange(const FeedItem<UpstreamEntry> &item) override;
         void onConfirmed(TimePoint, StatePosition) override {}
-        void onStoreRecovered() override;
+        void onStoreRecovered(Duration away) override;
         void onStoreRestored() override { m_isRestored = true; }
 
     private:
--- a/tests/servers/state/feed_follower_test.cpp
+++ b/tests/servers/state/feed_follower_test.cpp
@@ -42,6 +42,16 @@
     Duration wait{0};
 };
 
+/** Keeps the last call for upstreams, so that the test can answer it. */
+class ScriptedUpstreamFeed : public StateFeed<UpstreamEntry>
+{
+public:
+    void list(const std::string &, Done done) override { answer = std::move(done); }
+    void watch(StatePosition, Duration, Done done) override { answer = std::move(done); }
+
+    Done answer;
+};
+
 class RecordingSink : public FollowerSink<int>
 {
 public:
@@ -52,13 +62,18 @@
         confirmed = at;
         revision = position.revision;
     }
-    void onStoreRecovered() override { ++recoveries; }
+    void onStoreRecovered(Duration length) override
+    {
+        ++recoveries;
+        away = length;
+    }
     void onStoreRestored() override { ++restores; }
     bool isStoreBehind() const override { return isBehind; }
 
     std::size_t items = 0;
     int changes = 0;
     int recoveries = 0;
+    Duration away{0};
     int restores = 0;
     bool isBehind = false;
     TimePoint confirmed{};
@@ -112,6 +127,9 @@
     CPPUNIT_TEST(answerWithoutEraKeepsTheEra);
     CPPUNIT_TEST(wrongEraIsForgottenWithTheNextAnswer);
     CPPUNIT_TEST(suspendedProcessDoesNotConfirm);
+    CPPUNIT_TEST(refusalsAreNoOutage);
+    CPPUNIT_TEST(failedCallsAreAnOutage);
+    CPPUNIT_TEST(outageThatAnotherFollowerSawCounts);
     CPPUNIT_TEST(defersRetriesWhileAnotherFollowerFails);
     CPPUNIT_TEST(retriesWhileTheOtherFollowerSucceeds);
     CPPUNIT_TEST_SUITE_END();
@@ -195,6 +213,42 @@
         CPPUNIT_ASSERT(m_feed.wait > seconds(2));
     }
 
+    // Guards against entries that count as expired in an outage because the store limits its calls.
+    void refusalsAreNoOutage()
+    {
+        m_feed.answer(makeResult(10));
+        failFor(seconds(5), FeedError::RateLimited);
+        m_feed.answer(makeResult(10));
+        CPPUNIT_ASSERT_EQUAL(1, m_sink.recoveries);
+        CPPUNIT_ASSERT(m_sink.away == Duration(0));
+    }
+
+    // Guards against an overload of the upstreams whose entries did not expire in an outage.
+    void failedCallsAreAnOutage()
+    {
+        m_feed.answer(makeResult(10));
+        failFor(seconds(5), FeedError::Unavailable);
+        m_feed.answer(makeResult(10));
+        CPPUNIT_ASSERT_EQUAL(1, m_sink.recoveries);
+        CPPUNIT_ASSERT(m_sink.away >= seconds(5));
+    }
+
+    // Guards against the same where one follower tries the store for all.
+    void outageThatAnotherFollowerSawCounts()
+    {
+        StoreContact contact;
+        m_follower->shareContact(contact);
+        m_feed.answer(makeResult(10));
+        const TimePoint start = m_loop.now();
+        contact.onFailed(start, start, start);
+        m_follower->abandonWatch();
+        contact.onFailed(start, start, start + seconds(1));
+        contact.onAnswered(start + seconds(4));
+        m_follower->retryNow();
+        m_feed.answer(makeResult(10));
+        CPPUNIT_ASSERT(m_sink.away == seconds(4));
+    }
+
     // Guards against load on an unresponsive store from all three followers of each node.
     void defersRetriesWhileAnotherFollowerFails()
     {
@@ -406,6 +460,19 @@
     }
 
 private:
+    /** Answers all calls with @p error until @p span is over and another call waits. */
+    void failFor(Duration span, FeedError error)
+    {
+        const TimePoint end = m_loop.now() + span;
+        m_feed.answer(makeError(error));
+        int calls = m_feed.watches;
+        while (m_loop.now() < end || m_feed.watches == calls) {
+            m_loop.advance(milliseconds(10));
+            if (m_loop.now() < end && m_feed.watches != std::exchange(calls, m_feed.watches))
+                m_feed.answer(makeError(error));
+        }
+    }
+
     ManualLoop m_loop;
     CountingMetrics m_metrics;
     ScriptedFeed m_feed;
@@ -422,6 +489,7 @@
     CPPUNIT_TEST_SUITE(RouterStateTest);
     CPPUNIT_TEST(malformedConfigurationChangesNothing);
     CPPUNIT_TEST(malformedEntryRemovesUpstream);
+    CPPUNIT_TEST(cutWatchKeepsNoRemovedUpstreamInUse);
     CPPUNIT_TEST(upstreamThatLeftReturnsAfterARestoreOnlyWithItsEntry);
     CPPUNIT_TEST_SUITE_END();
 
@@ -453,6 +521,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), usable[0].id.value);
     }
 
+    // Guards against requests to an upstream that is gone: the store cut off the watch in which its
+    // removal would have been seen.
+    void cutWatchKeepsNoRemovedUpstreamInUse()
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId("a");
+        entry.service = "models";
+        UpstreamEntry other = entry;
+        other.id = UpstreamId("b");
+        ScriptedUpstreamFeed feed;
+        FeedFollower<UpstreamEntry> follower("upstreams", feed, m_state.upstreamSink(), m_loop,
+                                             m_metrics, FollowerTimes{}, 1);
+        follower.start();
+        feed.answer({FeedError::None, {{"a", false, entry, ""}, {"b", false, other, ""}}, 10});
+        m_loop.advance(seconds(1));
+        feed.answer({FeedError::Unavailable, {}});
+        m_loop.advance(seconds(1));
+        feed.answer({FeedError::None, {{"a", true, std::nullopt, ""}}, 11});
+        const auto usable = m_state.upstreams().usable("models", m_loop.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), usable[0].id.value);
+    }
+
     void upstreamThatLeftReturnsAfterARestoreOnlyWithItsEntry()
     {
         UpstreamEntry entry;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -200,13 +200,14 @@
 
 void SoakRun::planFaults()
 {
-    static constexpr std::array<Fault, 18> kFaults = {
+    static constexpr std::array<Fault, 19> kFaults = {
             &SoakRun::stopGateway,  &SoakRun::killGateway,      &SoakRun::pauseGateway,
             &SoakRun::cutStore,     &SoakRun::delayStore,       &SoakRun::resetStore,
             &SoakRun::refuseStore,  &SoakRun::forgetHistory,    &SoakRun::crashWorker,
             &SoakRun::drainWorker,  &SoakRun::failWorker,       &SoakRun::fillWorker,
             &SoakRun::resetWorkers, &SoakRun::delayWorker,      &SoakRun::revokeKey,
-            &SoakRun::moveOrders,   &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers};
+            &SoakRun::moveOrders,   &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers,
+            &SoakRun::releaseWorker};
     // Some seeds play few kinds, so that the checks that need calm get their turn.
     const std::size_t kinds = 1 + pick(6);
     std::vector<Fault> chosen;
@@ -362,6 +363,23 @@
     m_loop.after(seconds(5), [this, id] { m_store.remove("servers", id); });
 }
 
+void SoakRun::releaseWorker()
+{
+    Worker *worker = pickWorker();
+    if (worker == nullptr)
+        return;
+    const std::string id = worker->standin->id();
+    note(fmt::format("worker {} leaves without draining", id));
+    worker->leaving = true;
+    startWorker(worker->standin->service());
+    // A store may cut off waiting watches at any time, which is no fault.
+    m_store.cutWatches();
+    m_loop.after(between(Duration(0), milliseconds(300)), [this, id] {
+        m_store.remove("servers", id);
+        m_judge.onDraining(id, m_loop.now());
+    });
+}
+
 void SoakRun::failWorker()
 {
     Worker *worker = pickWorker();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -73,6 +73,7 @@
     void forgetHistory();
     void crashWorker();
     void drainWorker();
+    void releaseWorker();
     void failWorker();
     void fillWorker();
     void sendExtraAnswers();
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -56,6 +56,11 @@
 {
     m_history.clear();
     m_oldest = ++m_revision;
+    cutWatches();
+}
+
+void StoreStandin::cutWatches()
+{
     for (const auto &it : std::exchange(m_watches, {})) {
         m_loop.cancel(it->timer);
         it->writer->abort();
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -32,7 +32,9 @@
     void loseAnswersUntil(TimePoint until) { m_loseUntil = until; }
     /** Answers take this much longer. */
     void delayAnswers(Duration delay) { m_delay = delay; }
-    /** Forgets the changes so far and cuts all watches. */
+    /** Cuts off the watches that are waiting. */
+    void cutWatches();
+    /** Forgets the changes so far and cuts off all watches. */
     void dropHistory();
 
     /** @return calls answered or refused. */
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -53,6 +53,8 @@
     'ended as whole'
 try "a drained upstream gets nothing" modules/upstreams/upstream_directory.cpp \
     's/entry.draining \|\| record.leaving/record.leaving/' 'after it drained'
+try "a cut watch is no outage" modules/upstreams/upstream_directory.cpp \
+    's/if \(away >= [^\n]*\n/if (away >= Duration(0))\n/' 'after it drained'
 try "a revoked key is not served" modules/freshness/config_cache.cpp \
     's/m_trust.revokeWithin - kWatchLag/m_trust.revokeWithin + 20 * kWatchLag/' 'key was revoked'
 try "a change takes effect" modules/freshness/config_cache.cpp \
