Pass on a status that promises "not run" only with its proof

Callers saw: an upstream that failed part of its requests ran an order and answered 503 without stating that it has not run.

Cause: the gateway checks its own refusals against what may have run, but relayed any status of an upstream as it came.

Change: AnswerEvidence says what an answer proves (run, not run, complete). 408, 421, 429 and 503 need the statement that the request has not run; without it, routes that may be repeated are tried again and the others get 502 without the upstream's stamp. This holds for answers that are held whole and for those relayed as they arrive. The daemon's own request path had the same fault with 408, 421 and 429, and with 503 when no retry was left.

The soak's failing upstreams now answer 500, 503 or 429.

--- a/servers/gateway/answer_relay.cpp
+++ b/servers/gateway/answer_relay.cpp
@@ -24,8 +24,7 @@
 void AnswerRelay::beginAttempt()
 {
     m_mode = Mode::Buffer;
-    m_answer = {};
-    m_attemptStatus = 0;
+    m_evidence = {};
     m_body.clear();
     m_splitter.reset();
     m_hasFirstOutput = false;
@@ -34,15 +33,14 @@
     m_hasAddedEvent = false;
 }
 
-void AnswerRelay::onHead(int status, HttpHeaders headers, const ResponseMeta &answer, bool isStream)
+void AnswerRelay::onHead(HttpHeaders headers, const AnswerEvidence &evidence, bool isStream)
 {
-    m_answer = answer;
-    m_attemptStatus = status;
+    m_evidence = evidence;
     m_mode = isStream ? Mode::Events : Mode::Buffer;
     // The caller already has the head from the first attempt.
     if (m_begun)
         return;
-    m_status = status;
+    m_status = evidence.status();
     m_headers = std::move(headers);
 }
 
@@ -59,8 +57,7 @@
         break;
     case Mode::Buffer:
         m_body += piece;
-        if (m_body.size() > kMaxBufferedBytes && m_answer.hasResponseStamp &&
-            !m_answer.certainlyNotRun && !m_begun) {
+        if (m_body.size() > kMaxBufferedBytes && !m_begun && mayPassThrough()) {
             recordFirstOutput();
             begin(std::nullopt);
             m_writer->write(std::exchange(m_body, {}));
@@ -71,6 +68,16 @@
     return true;
 }
 
+bool AnswerRelay::mayPassThrough() const
+{
+    return m_evidence.hasStamp() && m_evidence.isProven() && !m_evidence.isNotRun();
+}
+
+AnswerEnding AnswerRelay::ending(bool endedByClose) const
+{
+    return {isStream(), m_attemptEvents, isStream() && m_splitter.pending() > 0, endedByClose};
+}
+
 bool AnswerRelay::isTooLong() const
 {
     return m_body.size() > kMaxBufferedBytes ||
--- a/servers/gateway/answer_relay.h
+++ b/servers/gateway/answer_relay.h
@@ -4,6 +4,7 @@
 #include "core/interfaces/stream_server.h"
 #include "core/interfaces/wire_dialect.h"
 #include "modules/relay/event_splitter.h"
+#include "modules/retry/answer_evidence.h"
 
 #include <cstdint>
 #include <memory>
@@ -37,7 +38,7 @@
     void beginAttempt();
 
     /** Handles status and headers of an attempt. @param isStream relays the body event by event. */
-    void onHead(int status, HttpHeaders headers, const ResponseMeta &answer, bool isStream);
+    void onHead(HttpHeaders headers, const AnswerEvidence &evidence, bool isStream);
 
     /**
      * Handles a piece of an attempt's body.
@@ -56,8 +57,8 @@
     bool isStream() const { return m_mode == Mode::Events; }
     /** @return true for a large answer that is relayed unbuffered, which rules out a retry. */
     bool isPassedThrough() const { return m_mode == Mode::PassThrough; }
-    /** @return true when the bytes received so far end within an event. */
-    bool hasPartialEvent() const { return isStream() && m_splitter.pending() > 0; }
+    /** @return where the answer ends that was received so far. */
+    AnswerEnding ending(bool endedByClose) const;
 
     /** @return false when the caller has part of an answer that no other attempt can continue. */
     bool canContinue() const
@@ -74,8 +75,9 @@
     /** @return the HTTP status for the caller. */
     int status() const { return m_status; }
     /** @return the HTTP status of the current attempt's answer, 0 before it arrives. */
-    int attemptStatus() const { return m_attemptStatus; }
-    const ResponseMeta &answer() const { return m_answer; }
+    int attemptStatus() const { return m_evidence.status(); }
+    /** @return what the current attempt's answer proves. */
+    const AnswerEvidence &evidence() const { return m_evidence; }
     std::optional<std::uint64_t> lastEventId() const { return m_lastEventId; }
     const RelayStats &stats() const { return m_stats; }
 
@@ -106,6 +108,7 @@
     };
 
     void begin(std::optional<std::size_t> length);
+    bool mayPassThrough() const;
     EventPlace placeOf(const StreamEvent &event) const;
     void recordEventId(std::uint64_t id);
     void onEvent(const StreamEvent &event);
@@ -115,9 +118,8 @@
     std::shared_ptr<ResponseWriter> m_writer;
     Mode m_mode = Mode::Buffer;
     int m_status = 0;
-    int m_attemptStatus = 0;
     HttpHeaders m_headers;
-    ResponseMeta m_answer;
+    AnswerEvidence m_evidence;
     std::string m_body;
     EventSplitter m_splitter;
     bool m_begun = false;
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -263,7 +263,7 @@
     if (!answer.certainlyNotRun)
         m_executionTracker.setState(AttemptState::Begun);
     m_gateway.upstreamLimits().onAnswer(m_placement.upstream.id, answer);
-    m_relay.onHead(status, std::move(headers), answer, isStream);
+    m_relay.onHead(std::move(headers), AnswerEvidence(status, answer), isStream);
 }
 
 bool Exchange::onPiece(std::string_view piece)
@@ -300,18 +300,17 @@
 
 void Exchange::onCompleteAnswer(const UpstreamEnd &end)
 {
-    // A stream has at least one event, so the upstream ended before it.
-    if (end.endedByClose && m_relay.isStream() && m_relay.attemptEvents() == 0) {
-        onBrokenAnswer({UpstreamResult::Broken, end.httpStatus, "no event", false});
+    const auto missing = AnswerEvidence::findMissingPart(m_relay.ending(end.endedByClose));
+    if (!missing.empty()) {
+        onBrokenAnswer({UpstreamResult::Broken, m_relay.attemptStatus(), std::string(missing)});
         return;
     }
-    const bool isUnproven =
-            isSuccess(m_relay.attemptStatus()) && !m_relay.answer().hasResponseStamp;
+    m_executionTracker.setState(m_relay.evidence().stateWhenComplete());
     if (m_relay.isStream() || m_relay.isPassedThrough())
         onStreamEnd();
-    else if (m_relay.answer().certainlyNotRun)
+    else if (m_relay.evidence().isNotRun())
         onNotRun();
-    else if (isUnproven)
+    else if (!m_relay.evidence().isProven())
         onUnprovenAnswer();
     else
         onBufferedAnswer();
@@ -319,11 +318,6 @@
 
 void Exchange::onStreamEnd()
 {
-    if (m_relay.hasPartialEvent()) {
-        onBrokenAnswer({UpstreamResult::Broken, m_relay.attemptStatus(), "partial event", false});
-        return;
-    }
-    m_executionTracker.setState(AttemptState::Finished);
     if (m_relay.attemptEvents() > 0)
         noteGoesOn();
     closeAttempt(AttemptOutcome::Succeeded);
@@ -337,8 +331,7 @@
 
 void Exchange::onNotRun()
 {
-    const bool isOtherUpstream = m_relay.answer().isMisdirected;
-    m_executionTracker.setState(AttemptState::Refused);
+    const bool isOtherUpstream = m_relay.evidence().isOtherUpstream();
     if (isOtherUpstream)
         m_gateway.state().upstreams().markLeaving(m_placement.upstream.id);
     closeAttempt(isOtherUpstream ? AttemptOutcome::Unreachable : AttemptOutcome::Full);
@@ -348,18 +341,17 @@
 
 void Exchange::onUnprovenAnswer()
 {
-    m_executionTracker.setState(AttemptState::Lost);
     closeAttempt(AttemptOutcome::Failed);
     if (!m_route->isRepeatable() || !tryRetry(true))
-        failOrAbort(Reason::AnswerMismatch);
+        failOrAbort(isSuccess(m_relay.attemptStatus()) ? Reason::AnswerMismatch
+                                                       : Reason::UpstreamFailed);
 }
 
 void Exchange::onBufferedAnswer()
 {
-    m_executionTracker.setState(AttemptState::Finished);
     if (!m_relay.hasFirstOutput())
         m_service->balancer.onFirstEvent(m_placement, m_gateway.parts().loop.now() - m_sentAt);
-    const bool failed = isServerFailure(m_relay.attemptStatus());
+    const bool failed = m_relay.evidence().isFailure();
     closeAttempt(failed ? AttemptOutcome::Failed : AttemptOutcome::Succeeded);
     // After a stream has begun, a plain answer means that this upstream could not continue it.
     const bool isUnusable = m_relay.hasBegun() || (failed && m_route->isRepeatable());
@@ -388,10 +380,12 @@
 void Exchange::endTooLongAnswer()
 {
     std::exchange(m_call, nullptr)->cancel();
-    if (m_relay.answer().certainlyNotRun)
-        onNotRun();
-    else
+    if (!m_relay.evidence().isNotRun()) {
         onBrokenAnswer({UpstreamResult::Broken, m_relay.attemptStatus(), "answer too long", false});
+        return;
+    }
+    m_executionTracker.setState(AttemptState::Refused);
+    onNotRun();
 }
 
 Reason Exchange::failureReason(const UpstreamEnd &end) const
--- a/servers/request_path/attempt_failure.cpp
+++ b/servers/request_path/attempt_failure.cpp
@@ -1,5 +1,7 @@
 #include "servers/request_path/attempt_failure.h"
 
+#include "core/http_status.h"
+
 #include <charconv>
 
 namespace hawthornslip {
@@ -66,18 +68,16 @@
 
 std::optional<AttemptFailure> failureOf(int status, const HttpHeaders &headers)
 {
-    constexpr int kTooManyRequests = 429;
-    constexpr int kServiceUnavailable = 503;
-    constexpr int kFirstServerErrorStatus = 500;
     const auto *execution = findHeader(headers, "x-execution");
-    if ((status == kTooManyRequests || status == kServiceUnavailable) && execution != nullptr &&
+    if (impliesNotRun(status) && execution != nullptr &&
         *execution == nameOf(Execution::NotRun)) {
         auto it = makeFailure(Reason::UpstreamRefused, Execution::NotRun,
                               "the upstream refused the request", AttemptResult::Failed);
         it.error.retryAfter = retryAfter(headers);
         return it;
     }
-    if (status < kFirstServerErrorStatus)
+    // Without that statement the status would be a promise that the upstream does not make.
+    if (!isServerFailure(status) && !impliesNotRun(status))
         return std::nullopt;
     return makeFailure(Reason::UpstreamFailed, Execution::MayHaveRun,
                        "the upstream failed with status " + std::to_string(status),
--- a/servers/request_path/attempt_failure.h
+++ b/servers/request_path/attempt_failure.h
@@ -28,9 +28,9 @@
 AttemptFailure truncationFailure();
 
 /**
- * @return the failure that a complete answer reports: NotRun for status 429 or 503 with the header
- *         `X-Execution: not_run`, MayHaveRun for other statuses from 500; nothing for an answer
- *         that is relayed.
+ * @return the failure that a complete answer reports: NotRun for a status that promises it with the
+ *         header `X-Execution: not_run`, MayHaveRun without that header and for other statuses from
+ *         500; nothing for an answer that is relayed.
  */
 std::optional<AttemptFailure> failureOf(int status, const HttpHeaders &headers);
 
--- a/servers/request_path/request_run.cpp
+++ b/servers/request_path/request_run.cpp
@@ -1,5 +1,6 @@
 #include "servers/request_path/request_run.h"
 
+#include "core/http_status.h"
 #include "core/metric_names.h"
 #include "servers/request_path/error_answer.h"
 #include "servers/request_path/event_scanner.h"
@@ -267,7 +268,7 @@
         return;
     }
     progress.pending += data;
-    if (m_context.route == RouteKind::Application &&
+    if (m_context.route == RouteKind::Application && !impliesNotRun(attempt->status()) &&
         progress.pending.size() >= m_services.settings.relayBufferBytes) {
         relayFrom(attempt);
         startStream(attempt);
@@ -294,9 +295,10 @@
     }
     const bool language = m_context.route == RouteKind::Language;
     if (const auto failure = failureOf(attempt->status(), attempt->headers())) {
-        // An application's own error answer is relayed unless it is a refusal or a retry is left;
-        // the retry budget is not checked here.
-        const bool refused = failure->error.execution == Execution::NotRun;
+        // An application's own error answer is relayed unless it is a refusal, has a status that
+        // promises one, or a retry is left; the retry budget is not checked here.
+        const bool refused = failure->error.execution == Execution::NotRun ||
+                             impliesNotRun(attempt->status());
         if (language || refused || (idempotent() && m_retries < m_services.settings.maxRetries)) {
             attemptFailed(attempt, *failure);
             return;
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kTwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::vector<std::pair<std::string, bool>> kRepeatable = {
+        {"/order/1", false}, {"/read/1", true}, {"/chat/1", false}, {"/draft/1", true}};
 const HttpHeaders kProvenStream = {{"proof", "1"}, {"content-type", "text/event-stream"}};
 
 /** Records the calls to upstreams, so that a test can answer them. */
@@ -112,6 +114,8 @@
     CPPUNIT_TEST(refusesNewRequestsBeforeStop);
     CPPUNIT_TEST(doesNotRetryNonIdempotentThatMayHaveRun);
     CPPUNIT_TEST(retriesRefusedNonIdempotent);
+    CPPUNIT_TEST(promiseWithoutProofIsNotPassedOn);
+    CPPUNIT_TEST(promiseWithProofIsPassedOn);
     CPPUNIT_TEST(retriesIdempotentAfterBrokenConnection);
     CPPUNIT_TEST(rejectsUnprovenSuccess);
     CPPUNIT_TEST(resumesStreamWithoutGapOrDuplicate);
@@ -243,6 +247,42 @@
         CPPUNIT_ASSERT(findHeader(view->headers, "Retry-After") != nullptr);
     }
 
+    // Guards against an order that runs twice: its caller sends it again after a status which says
+    // that it has not run, though the upstream does not state that.
+    void promiseWithoutProofIsNotPassedOn()
+    {
+        for (const auto &[path, isRepeatable] : kRepeatable) {
+            for (const int status : {408, 429, 503}) {
+                for (const std::size_t size : {std::size_t{7}, std::size_t{1} << 20}) {
+                    const auto name = fmt::format("{} {} {} bytes", path, status, size);
+                    setUp();
+                    const auto view = call(path);
+                    answerAll(status, {{"proof", "1"}, {"retry-after", "1"}}, size);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 502, view->status);
+                    CPPUNIT_ASSERT_MESSAGE(name, findHeader(view->headers, "proof") == nullptr);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, isRepeatable ? 2UL : 1UL,
+                                                 m_client.calls.size());
+                }
+            }
+        }
+    }
+
+    // Guards against a request that callers cannot send again although no upstream has run it.
+    void promiseWithProofIsPassedOn()
+    {
+        for (const auto &[path, isRepeatable] : kRepeatable) {
+            for (const int status : {408, 421, 429, 503}) {
+                setUp();
+                const auto name = fmt::format("{} {}", path, status);
+                const auto view = call(path);
+                answerAll(status, {{"not-run", "1"}}, 7);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 503, view->status);
+                CPPUNIT_ASSERT_MESSAGE(name, view->body.find("not_run") != std::string::npos);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 2UL, m_client.calls.size());
+            }
+        }
+    }
+
     void retriesIdempotentAfterBrokenConnection()
     {
         const auto view = call("/read/1");
@@ -552,6 +592,13 @@
     }
 
 private:
+    /** Answers each attempt of a request alike. */
+    void answerAll(int status, const HttpHeaders &headers, std::size_t size)
+    {
+        for (std::size_t i = 0; i < m_client.calls.size(); ++i)
+            m_client.calls[i]->answer(status, headers, std::string(size, 'x'));
+    }
+
     /** @return a caller whose stream broke off after two events; the second attempt is sent. */
     std::shared_ptr<CallerView> callWithBrokenStream()
     {
--- a/tests/servers/request_path/attempts_test.cpp
+++ b/tests/servers/request_path/attempts_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(streamIsRelayedCompletely);
     CPPUNIT_TEST(connectFailureIsRetriedForAnyProfile);
     CPPUNIT_TEST(refusalByUpstreamIsRetriedForAnyProfile);
+    CPPUNIT_TEST(refusalWithoutProofIsNotPassedOn);
     CPPUNIT_TEST(brokenOrderIsNotRetried);
     CPPUNIT_TEST(brokenRequestIsRetriedWithinBudget);
     CPPUNIT_TEST(brokenStreamResumesAfterItsTokens);
@@ -98,6 +99,22 @@
         CPPUNIT_ASSERT(answerHeader(answer, "Retry-After") != nullptr);
     }
 
+    // Guards against a caller that is told by a status that its order has not run, although the
+    // upstream does not state that.
+    void refusalWithoutProofIsNotPassedOn()
+    {
+        for (const int status : {408, 421, 429, 503}) {
+            PathFixture it;
+            it.then([&] {
+                it.call(0).headers(status, "text/plain", {});
+                it.call(0).end(UpstreamResult::Complete);
+            });
+            const auto answer = it.application("order");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.upstream.calls.size());
+            assertError(answer, 502, "upstream_failed", "may_have_run");
+        }
+    }
+
     // Guards I4 and I5: an order whose connection failed may have run and is never retried.
     void brokenOrderIsNotRetried()
     {
--- a/tests/soak/worker_standin.cpp
+++ b/tests/soak/worker_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <utility>
 
 namespace hawthornslip::soak {
@@ -13,6 +14,8 @@
 constexpr Duration kLongestWork = milliseconds(60);
 constexpr Duration kEventPause = milliseconds(15);
 
+// Without the statement that the request has not run, none of them promises that.
+constexpr std::array<int, 3> kFailures = {500, 503, 429};
 // Goes on the connection after a whole answer, as if it answered the next request there.
 constexpr std::string_view kExtraAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
                                           "X-Hawthornslip-Attempt-Id: another\r\n"
@@ -41,11 +44,11 @@
     void onSendBufferEmpty() override {}
 
     /** Answers whole after some work. */
-    void answerAfter(Duration work, bool fails)
+    void answerAfter(Duration work, int status)
     {
-        later(work, [this, fails] {
-            const std::string body = fails ? "failed" : "done " + m_id;
-            m_writer->begin(fails ? 500 : 200, headers("text/plain"), body.size());
+        later(work, [this, status] {
+            const std::string body = status == 200 ? "done " + m_id : "failed";
+            m_writer->begin(status, headers("text/plain"), body.size());
             m_writer->write(body);
             if (m_worker.m_loop.now() < m_worker.m_extraUntil && m_worker.draw(0.5))
                 m_writer->write(kExtraAnswer);
@@ -151,7 +154,8 @@
     } else if (fails && draw(0.5)) {
         run->loseAfter(Duration(work(m_random)));
     } else {
-        run->answerAfter(Duration(work(m_random)), fails);
+        run->answerAfter(Duration(work(m_random)),
+                         fails ? kFailures[m_random() % kFailures.size()] : 200);
     }
     return run;
 }
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -44,6 +44,8 @@
 try "a refusal did not run" servers/gateway/exchange.cpp \
     's/if \(impliesNotRun\(status\) && execution.*?;/if (execution != Execution::NotRun)\n status = 503;/s' \
     'was refused with 503 and ran'
+try "a promise needs its proof" modules/retry/answer_evidence.cpp \
+    's/return isNotRun\(\) \|\| !impliesNotRun\(m_status\);/return true;/' 'was refused with .* and ran'
 try "an answer belongs to its request" drivers/asio/upstream_connection.cpp \
     's/return tag != nullptr && \*tag != m_request.tag;/return tag == nullptr \&\& m_headDelivered;/' 'got the answer'
 try "a stream has no gap and no repetition" servers/gateway/answer_relay.cpp \
