Send nothing new to an upstream whose answers say that it leaves

Cause: nothing read the header; only the store told that an upstream leaves.

Evidence, untouched code: the two gateways that reach the store stop in time; the one that is cut off sends the upstream its usual share while two others are listed, so it was not kept as a fallback. No line of its log names the upstream as leaving.

It stays a fallback while a request can reach it within the drain time. The process is remembered by id, address and time of start, so that neither an entry that returns after an outage nor one from a copy of the store brings it back; a restart does. 421 keeps its own meaning.

The soak has upstreams that leave so.

--- a/core/interfaces/wire_dialect.h
+++ b/core/interfaces/wire_dialect.h
@@ -59,6 +59,8 @@
     bool certainlyNotRun = false;
     /** The address now belongs to another upstream (421 Misdirected Request). */
     bool isMisdirected = false;
+    /** The upstream states that it is about to stop and must not get new requests much longer. */
+    bool isLeaving = false;
     /** Requests per second that the upstream takes from all nodes together, if it names a limit. */
     std::optional<double> requestLimit;
     /** The response names a limit that is not a number of requests. */
--- a/modules/upstreams/tests/upstream_directory_test.cpp
+++ b/modules/upstreams/tests/upstream_directory_test.cpp
@@ -27,7 +27,11 @@
     CPPUNIT_TEST(removedUpstreamIsOnlyAFallback);
     CPPUNIT_TEST(removedEntriesStayUsableDuringReregistration);
     CPPUNIT_TEST(shortOutageExpiresNoEntries);
+    CPPUNIT_TEST(misdirectedUpstreamReturnsAfterRestart);
+    CPPUNIT_TEST(leavingUpstreamIsAFallbackWithinTheDrainTime);
+    CPPUNIT_TEST(leavingUpstreamStaysOutWhenItsEntryReturns);
     CPPUNIT_TEST(leavingUpstreamReturnsAfterRestart);
+    CPPUNIT_TEST(rememberedLeaversAreBounded);
     CPPUNIT_TEST(endedUpstreamIsOnlyAFallback);
     CPPUNIT_TEST(endedUpstreamReturnsIfItIsStillListed);
     CPPUNIT_TEST(endedUpstreamIsLeftOutLongerWithRareHeartbeats);
@@ -187,13 +191,96 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), directory.usable("models", kStart).at(0).id.value);
     }
 
-    // Guards against excluding an upstream forever because it once left its address.
+    // Guards against requests to an upstream that leaves, and against refusing all requests while
+    // it still takes them.
+    void leavingUpstreamIsAFallbackWithinTheDrainTime()
+    {
+        const DirectoryTimes times;
+        UpstreamDirectory directory(times);
+        directory.replaceAll({makeEntry("a"), makeEntry("b")}, kStart);
+        const auto revision = directory.revision();
+        CPPUNIT_ASSERT(directory.markLeaving(UpstreamId("a"), kStart));
+        CPPUNIT_ASSERT(!directory.markLeaving(UpstreamId("a"), kStart + seconds(1)));
+        CPPUNIT_ASSERT(directory.revision() != revision);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), directory.usable("models", kStart).at(0).id.value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("models", kStart).size());
+        directory.markLeaving(UpstreamId("b"), kStart);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.usable("models", kStart).size());
+        const auto before = directory.revision();
+        directory.expire(kStart + times.drainWithin);
+        CPPUNIT_ASSERT(directory.revision() != before);
+        CPPUNIT_ASSERT(directory.usable("models", kStart + times.drainWithin).empty());
+    }
+
+    // Guards against requests to an upstream that had said that it leaves, after its entry expired
+    // in an outage of the store and is back, or came back with a copy of the store.
+    void leavingUpstreamStaysOutWhenItsEntryReturns()
+    {
+        auto entry = makeEntry("a");
+        entry.bornMs = 7;
+        const TimePoint later = kStart + seconds(9);
+        for (const bool isRestored : {false, true}) {
+            UpstreamDirectory directory(DirectoryTimes{});
+            directory.put(entry, kStart);
+            directory.markLeaving(entry.id, kStart);
+            directory.remove(entry.id, kStart);
+            directory.expire(later);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory.size());
+            if (isRestored)
+                directory.replaceAllRestored({entry}, later);
+            else
+                directory.put(entry, later);
+            CPPUNIT_ASSERT(directory.usable("models", later).empty());
+            directory.expire(later + seconds(9));
+            CPPUNIT_ASSERT(directory.usable("models", later + seconds(9)).empty());
+        }
+    }
+
+    // Guards against an upstream that is taken for the process which left under its ID.
     void leavingUpstreamReturnsAfterRestart()
+    {
+        auto entry = makeEntry("a");
+        entry.bornMs = 7;
+        UpstreamDirectory directory(DirectoryTimes{});
+        directory.put(entry, kStart);
+        directory.markLeaving(entry.id, kStart);
+        entry.bornMs = 8;
+        directory.put(entry, kStart + seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             directory.usable("models", kStart + seconds(3)).size());
+        // It does not say when it started, and was removed in between.
+        entry.bornMs = 0;
+        directory.put(entry, kStart + seconds(3));
+        directory.markLeaving(entry.id, kStart + seconds(3));
+        directory.remove(entry.id, kStart + seconds(4));
+        directory.put(entry, kStart + seconds(6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             directory.usable("models", kStart + seconds(6)).size());
+    }
+
+    // Guards against memory that grows with each release.
+    void rememberedLeaversAreBounded()
+    {
+        UpstreamDirectory directory(DirectoryTimes{});
+        auto entry = makeEntry("a");
+        for (std::uint64_t i = 1; i <= 5000; ++i) {
+            entry.bornMs = i;
+            directory.put(entry, kStart);
+            CPPUNIT_ASSERT(directory.markLeaving(entry.id, kStart));
+        }
+        entry.bornMs = 1;
+        directory.put(entry, kStart + seconds(9));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             directory.usable("models", kStart + seconds(9)).size());
+    }
+
+    // Guards against excluding an upstream forever because it once left its address.
+    void misdirectedUpstreamReturnsAfterRestart()
     {
         UpstreamDirectory directory(DirectoryTimes{});
         auto entry = makeEntry("a");
         directory.put(entry, kStart);
-        directory.markLeaving(entry.id);
+        directory.markMisdirected(entry.id);
         CPPUNIT_ASSERT(directory.usable("models", kStart).empty());
         entry.slots = 7;
         directory.put(entry, kStart);
--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -50,6 +50,7 @@
             continue;
         Record record;
         record.entry = it;
+        record.leavesAt = leavesAt(it);
         record.leftUntil = now + kMissedHeartbeats * m_times.heartbeat + kListDelay;
         m_entries[it.id] = std::move(record);
         ++m_revision;
@@ -100,10 +101,14 @@
     const bool restarted = record.removed || processOf(record.entry) != processOf(entry);
     if (record.entry == entry && !restarted && !record.leftUntil)
         return;
+    // Without a time of start, a process that registers again cannot be told from its successor.
+    if (restarted && entry.bornMs == 0)
+        std::erase_if(m_leavers, [&](const auto &it) { return it.process == processOf(entry); });
     Record updated;
     updated.entry = entry;
+    updated.leavesAt = leavesAt(entry);
     if (!restarted) {
-        updated.leaving = record.leaving;
+        updated.unusable = record.unusable;
         updated.endedUntil = record.endedUntil;
     }
     record = std::move(updated);
@@ -140,15 +145,35 @@
             record.mayReregister ? reregisterBy : now + m_times.drainWithin - kDrainMargin;
 }
 
-void UpstreamDirectory::markLeaving(const UpstreamId &id)
+void UpstreamDirectory::markMisdirected(const UpstreamId &id)
 {
     const auto it = m_entries.find(id);
-    if (it == m_entries.end() || it->second.leaving)
+    if (it == m_entries.end() || it->second.unusable)
         return;
-    it->second.leaving = true;
+    it->second.unusable = true;
     ++m_revision;
 }
 
+bool UpstreamDirectory::markLeaving(const UpstreamId &id, TimePoint now)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end() || it->second.leavesAt)
+        return false;
+    const TimePoint leavesAt = now + m_times.drainWithin - kDrainMargin;
+    it->second.leavesAt = leavesAt;
+    m_leavers.push_back({processOf(it->second.entry), leavesAt});
+    if (m_leavers.size() > kMaxLeft)
+        m_leavers.pop_front();
+    ++m_revision;
+    return true;
+}
+
+std::optional<TimePoint> UpstreamDirectory::leavesAt(const UpstreamEntry &entry) const
+{
+    const auto it = std::ranges::find(m_leavers, processOf(entry), &Leaver::process);
+    return it == m_leavers.end() ? std::nullopt : std::optional(it->leavesAt);
+}
+
 void UpstreamDirectory::markEnded(std::uint64_t idHash, TimePoint endedAt, TimePoint now)
 {
     // An upstream that is still listed by then has restarted.
@@ -174,6 +199,10 @@
             record.leftUntil.reset();
             ++m_revision;
         }
+        if (record.leavesAt && now >= *record.leavesAt && !record.unusable) {
+            record.unusable = true;
+            ++m_revision;
+        }
     }
     const auto expired = std::erase_if(m_entries, [this, now](const auto &it) {
         if (!it.second.removed || now < it.second.expiresAt)
@@ -190,12 +219,12 @@
     std::vector<UpstreamEntry> fallback;
     for (const auto &[id, record] : m_entries) {
         const auto &entry = record.entry;
-        if (entry.service != service || entry.draining || record.leaving || record.leftUntil)
+        if (entry.service != service || entry.draining || record.unusable || record.leftUntil)
             continue;
         const bool isPresent = !record.removed || (record.mayReregister && now < record.expiresAt);
-        if (isPresent && !record.endedUntil)
+        if (isPresent && !record.endedUntil && !record.leavesAt)
             present.push_back(entry);
-        else if (now < record.expiresAt)
+        else if (now < std::min(record.expiresAt, record.leavesAt.value_or(TimePoint::max())))
             fallback.push_back(entry);
     }
     return present.empty() ? fallback : present;
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -84,8 +84,16 @@
      */
     void onStoreRecovered(TimePoint now, Duration away);
 
-    /** Records a response which shows that @p id is draining or no longer has its address. */
-    void markLeaving(const UpstreamId &id);
+    /** Records a response which shows that @p id no longer has its address. */
+    void markMisdirected(const UpstreamId &id);
+
+    /**
+     * Records that an upstream says in a response that it leaves. It is used only as a fallback
+     * while requests can reach it within the drain time, and then no more until it restarts.
+     *
+     * @return true if that was not known.
+     */
+    bool markLeaving(const UpstreamId &id, TimePoint now);
 
     /**
      * Records that the process of an upstream has ended, which the platform notices later.
@@ -101,9 +109,9 @@
     void expire(TimePoint now);
 
     /**
-     * @return the upstreams of @p service that may get new requests. Recently removed and ended
-     *         ones are included only when there are no others, or when they may register again
-     *         after a store outage.
+     * @return the upstreams of @p service that may get new requests. Recently removed, ended and
+     *         leaving ones are included only when there are no others, or when they may register
+     * again after a store outage.
      */
     std::vector<UpstreamEntry> usable(std::string_view service, TimePoint now) const;
 
@@ -117,11 +125,14 @@
     struct Record
     {
         UpstreamEntry entry;
-        bool leaving = false;
+        /** Gets no requests at all. */
+        bool unusable = false;
         bool removed = false;
         /** The entry may have expired only because of a store outage. */
         bool mayReregister = false;
         TimePoint expiresAt = TimePoint::max();
+        /** It says that it leaves; it is a fallback until then. */
+        std::optional<TimePoint> leavesAt;
         /** Its process has ended; it is not used until then. */
         std::optional<TimePoint> endedUntil;
         /** It had left before the store was restored; it is not used until then. */
@@ -138,7 +149,16 @@
         auto operator<=>(const Process &) const = default;
     };
 
+    /** A start of an upstream that has said that it leaves. */
+    struct Leaver
+    {
+        Process process;
+        TimePoint leavesAt{};
+    };
+
     static Process processOf(const UpstreamEntry &entry);
+    /** @return when the process of @p entry leaves, if it has said so. */
+    std::optional<TimePoint> leavesAt(const UpstreamEntry &entry) const;
     /** Removes the entries that are not in @p entries. */
     void removeMissing(const std::vector<UpstreamEntry> &entries, TimePoint now);
     void markRemoved(Record &record, TimePoint now);
@@ -149,6 +169,8 @@
     std::map<UpstreamId, Record> m_entries;
     /** Upstreams that have left or drain, the oldest first. */
     std::deque<Process> m_left;
+    /** Kept longer than the entries, which may expire and return; the oldest first. */
+    std::deque<Leaver> m_leavers;
     std::uint64_t m_revision = 0;
 };
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -262,7 +262,7 @@
                           answer.hasResponseStamp && isEventStream(headers);
     if (!answer.certainlyNotRun)
         m_executionTracker.setState(AttemptState::Begun);
-    m_gateway.upstreamLimits().onAnswer(m_placement.upstream.id, answer);
+    m_gateway.onUpstreamAnswer(m_placement.upstream.id, answer);
     m_relay.onHead(std::move(headers), AnswerEvidence(status, answer), isStream);
 }
 
@@ -333,7 +333,7 @@
 {
     const bool isOtherUpstream = m_relay.evidence().isOtherUpstream();
     if (isOtherUpstream)
-        m_gateway.state().upstreams().markLeaving(m_placement.upstream.id);
+        m_gateway.state().upstreams().markMisdirected(m_placement.upstream.id);
     closeAttempt(isOtherUpstream ? AttemptOutcome::Unreachable : AttemptOutcome::Full);
     if (!tryRetry(true))
         failOrAbort(m_relay.hasBegun() ? Reason::UpstreamRefused : Reason::QueueFull);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/gateway.h"
 
+#include "core/logger.h"
 #include "modules/ownership/rendezvous_hash.h"
 #include "servers/gateway/exchange.h"
 
@@ -139,6 +140,13 @@
     }
 }
 
+void Gateway::onUpstreamAnswer(const UpstreamId &upstream, const ResponseMeta &answer)
+{
+    m_upstreamLimits.onAnswer(upstream, answer);
+    if (answer.isLeaving && m_state.upstreams().markLeaving(upstream, m_parts.loop.now()))
+        logEvent(LogLevel::Info, "upstream_leaving", {{"upstream", upstream.value}});
+}
+
 void Gateway::notifyLoadChanged()
 {
     if (m_loadChanged)
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -85,6 +85,8 @@
      */
     Duration spentBefore(const std::string &route, Duration left);
     void notifyLoadChanged();
+    /** Records what the head of an answer says about its upstream. */
+    void onUpstreamAnswer(const UpstreamId &upstream, const ResponseMeta &answer);
     /** Refuses requests that arrive from now on, because the process ends soon. */
     void refuseNew() { m_refusing = true; }
     bool isRefusing() const { return m_refusing; }
--- a/servers/request_path/attempt_failure.cpp
+++ b/servers/request_path/attempt_failure.cpp
@@ -69,8 +69,7 @@
 std::optional<AttemptFailure> failureOf(int status, const HttpHeaders &headers)
 {
     const auto *execution = findHeader(headers, "x-execution");
-    if (impliesNotRun(status) && execution != nullptr &&
-        *execution == nameOf(Execution::NotRun)) {
+    if (impliesNotRun(status) && execution != nullptr && *execution == nameOf(Execution::NotRun)) {
         auto it = makeFailure(Reason::UpstreamRefused, Execution::NotRun,
                               "the upstream refused the request", AttemptResult::Failed);
         it.error.retryAfter = retryAfter(headers);
--- a/servers/request_path/request_run.cpp
+++ b/servers/request_path/request_run.cpp
@@ -297,8 +297,8 @@
     if (const auto failure = failureOf(attempt->status(), attempt->headers())) {
         // An application's own error answer is relayed unless it is a refusal, has a status that
         // promises one, or a retry is left; the retry budget is not checked here.
-        const bool refused = failure->error.execution == Execution::NotRun ||
-                             impliesNotRun(attempt->status());
+        const bool refused =
+                failure->error.execution == Execution::NotRun || impliesNotRun(attempt->status());
         if (language || refused || (idempotent() && m_retries < m_services.settings.maxRetries)) {
             attemptFailed(attempt, *failure);
             return;
--- a/tests/platform/wire_headers_test.cpp
+++ b/tests/platform/wire_headers_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(ofTwoLimitsTheLowerCounts);
     CPPUNIT_TEST(unreadableLimitsAreNone);
     CPPUNIT_TEST(onlyARefusalProvesThatNothingRan);
+    CPPUNIT_TEST(oddValuesDoNotSayThatAnUpstreamLeaves);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +50,21 @@
             CPPUNIT_ASSERT(!dialect.readResponse(status, {}).certainlyNotRun);
     }
 
+    // Guards against an upstream that is kept out of use for good by an odd header.
+    void oddValuesDoNotSayThatAnUpstreamLeaves()
+    {
+        const platform::WireHeaders dialect;
+        const auto isLeaving = [&dialect](int status, const HttpHeaders &headers) {
+            return dialect.readResponse(status, headers).isLeaving;
+        };
+        for (const int status : {200, 206, 404, 421, 500, 503})
+            CPPUNIT_ASSERT(isLeaving(status, {{"server-leaving", "1"}}));
+        for (const std::string it : {"", "0", "true", "1 ", "11", "no"})
+            CPPUNIT_ASSERT_MESSAGE(it, !isLeaving(200, {{"server-leaving", it}}));
+        CPPUNIT_ASSERT(!isLeaving(200, {{"server-leaving", "1"}, {"server-leaving", "0"}}));
+        CPPUNIT_ASSERT(!isLeaving(200, {}));
+    }
+
 private:
     static ResponseMeta read(const std::vector<std::string> &limits)
     {
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(refusesNewRequestsBeforeStop);
     CPPUNIT_TEST(doesNotRetryNonIdempotentThatMayHaveRun);
     CPPUNIT_TEST(retriesRefusedNonIdempotent);
+    CPPUNIT_TEST(upstreamThatSaysItLeavesGetsNoNewRequests);
     CPPUNIT_TEST(promiseWithoutProofIsNotPassedOn);
     CPPUNIT_TEST(promiseWithProofIsPassedOn);
     CPPUNIT_TEST(retriesIdempotentAfterBrokenConnection);
@@ -247,6 +248,34 @@
         CPPUNIT_ASSERT(findHeader(view->headers, "Retry-After") != nullptr);
     }
 
+    // Guards against new requests to an upstream whose answers say that it leaves, while the store
+    // cannot be reached and the list still has it.
+    void upstreamThatSaysItLeavesGetsNoNewRequests()
+    {
+        const std::vector<std::tuple<std::string, int, HttpHeaders>> answers = {
+                {"/order/1", 200, {{"proof", "1"}}},   {"/order/1", 500, {{"proof", "1"}}},
+                {"/order/1", 503, {{"not-run", "1"}}}, {"/order/1", 200, {}},
+                {"/chat/1", 200, kProvenStream},       {"/draft/1", 503, {{"not-run", "1"}}}};
+        for (auto [path, status, headers] : answers) {
+            setUp();
+            call(path);
+            const auto leaving = m_client.calls.at(0);
+            headers.emplace_back("leaving", "1");
+            leaving->handler->onHeaders(status, headers);
+            const auto &url = leaving->request.url;
+            const auto address = url.substr(0, url.find('/', std::string("http://").size()));
+            for (int i = 0; i < 20; ++i)
+                call("/read/1");
+            m_fleet->loop.advance(seconds(3));
+            for (int i = 0; i < 20; ++i)
+                call("/read/1");
+            for (std::size_t i = 1; i < m_client.calls.size(); ++i)
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("{} {}", path, status),
+                                       !m_client.calls[i]->request.url.starts_with(address));
+            CPPUNIT_ASSERT(m_client.calls.size() > 1);
+        }
+    }
+
     // Guards against an order that runs twice: its caller sends it again after a status which says
     // that it has not run, though the upstream does not state that.
     void promiseWithoutProofIsNotPassedOn()
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -89,6 +89,23 @@
         isCalm(gateway, at))
         report(fmt::format("request {} reached {} {} ms after it drained", id, upstream,
                            toMillis(at - drain->second)));
+    checkLeaving(it->second, id, upstream, gateway);
+}
+
+void Judge::checkLeaving(const Sent &sent, const std::string &id, const std::string &upstream,
+                         std::size_t gateway)
+{
+    const auto seen = m_leavingSeen.find({gateway, upstream});
+    if (seen == m_leavingSeen.end() || sent.at <= seen->second + m_bounds.drainWithin)
+        return;
+    // A gateway that started again or was paused since then need not know it.
+    for (const auto *faults : {&m_troubledUntil, &m_stoppedUntil}) {
+        const auto fault = faults->find(gateway);
+        if (fault != faults->end() && fault->second >= seen->second)
+            return;
+    }
+    report(fmt::format("request {} reached {}, sent {} ms after gateway {} had heard it leaves", id,
+                       upstream, toMillis(sent.at - seen->second), gateway));
 }
 
 void Judge::onRun(const std::string &id, Kind kind, const std::string &service, TimePoint at)
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -69,6 +69,11 @@
     void onKeyRevoked(const std::string &key, TimePoint at) { m_revoked[key] = at; }
     /** Notes that the store acknowledged that @p upstream drains. */
     void onDraining(const std::string &upstream, TimePoint at) { m_draining[upstream] = at; }
+    /** Notes that @p gateway has passed on an answer in which @p upstream says that it leaves. */
+    void onLeavingSeen(std::size_t gateway, const std::string &upstream, TimePoint at)
+    {
+        m_leavingSeen.emplace(std::pair(gateway, upstream), at);
+    }
     /** Notes that the store acknowledged that orders now go to service @p name only. */
     void onServiceMoved(const std::string &name, TimePoint at)
     {
@@ -108,6 +113,8 @@
     void checkPlannedStop(const CallerOutcome &outcome);
     void checkAnswer(const CallerOutcome &outcome);
     void checkStream(const CallerOutcome &outcome);
+    void checkLeaving(const Sent &sent, const std::string &id, const std::string &upstream,
+                      std::size_t gateway);
     void checkBudget(TimePoint now);
     void report(const std::string &text);
 
@@ -118,6 +125,8 @@
     TimePoint m_allTroubledUntil{};
     std::map<std::string, TimePoint> m_revoked;
     std::map<std::string, TimePoint> m_draining;
+    /** By gateway and upstream. */
+    std::map<std::pair<std::size_t, std::string>, TimePoint> m_leavingSeen;
     std::string m_movedTo;
     TimePoint m_movedAt = TimePoint::max();
     std::map<std::string, Sent> m_sent;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -15,6 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::array<const char *, 4> kPaths = {"/order/", "/read/", "/chat/", "/draft/"};
+constexpr std::string_view kStamp = "soak.";
 // Gateways are ready well within this; faults and calls begin after it.
 constexpr Duration kStartUp = milliseconds(1500);
 // Requests that are open at the end have this long to end.
@@ -44,9 +45,13 @@
             });
     }
 
-    void onHeaders(int status, const std::vector<std::pair<std::string, std::string>> &) override
+    void onHeaders(int status, const HttpHeaders &headers) override
     {
         m_outcome.status = status;
+        const auto *stamp = findHeader(headers, "x-hawthornslip-response-stamp");
+        if (stamp != nullptr && findHeader(headers, "server-leaving") != nullptr)
+            m_run.m_judge.onLeavingSeen(m_outcome.gateway, stamp->substr(kStamp.size()),
+                                        m_run.m_loop.now());
     }
     bool onData(std::string_view piece) override
     {
@@ -200,14 +205,14 @@
 
 void SoakRun::planFaults()
 {
-    static constexpr std::array<Fault, 19> kFaults = {
-            &SoakRun::stopGateway,  &SoakRun::killGateway,      &SoakRun::pauseGateway,
-            &SoakRun::cutStore,     &SoakRun::delayStore,       &SoakRun::resetStore,
-            &SoakRun::refuseStore,  &SoakRun::forgetHistory,    &SoakRun::crashWorker,
-            &SoakRun::drainWorker,  &SoakRun::failWorker,       &SoakRun::fillWorker,
-            &SoakRun::resetWorkers, &SoakRun::delayWorker,      &SoakRun::revokeKey,
-            &SoakRun::moveOrders,   &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers,
-            &SoakRun::releaseWorker};
+    static constexpr std::array<Fault, 20> kFaults = {
+            &SoakRun::stopGateway,   &SoakRun::killGateway,      &SoakRun::pauseGateway,
+            &SoakRun::cutStore,      &SoakRun::delayStore,       &SoakRun::resetStore,
+            &SoakRun::refuseStore,   &SoakRun::forgetHistory,    &SoakRun::crashWorker,
+            &SoakRun::drainWorker,   &SoakRun::failWorker,       &SoakRun::fillWorker,
+            &SoakRun::resetWorkers,  &SoakRun::delayWorker,      &SoakRun::revokeKey,
+            &SoakRun::moveOrders,    &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers,
+            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers};
     // Some seeds play few kinds, so that the checks that need calm get their turn.
     const std::size_t kinds = 1 + pick(6);
     std::vector<Fault> chosen;
@@ -380,6 +385,17 @@
     });
 }
 
+void SoakRun::leaveByAnswers()
+{
+    Worker *worker = pickWorker();
+    if (worker == nullptr)
+        return;
+    note(fmt::format("worker {} says in its answers only that it leaves", worker->standin->id()));
+    worker->leaving = true;
+    startWorker(worker->standin->service());
+    worker->standin->beginLeaving();
+}
+
 void SoakRun::failWorker()
 {
     Worker *worker = pickWorker();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -74,6 +74,7 @@
     void crashWorker();
     void drainWorker();
     void releaseWorker();
+    void leaveByAnswers();
     void failWorker();
     void fillWorker();
     void sendExtraAnswers();
--- a/tests/soak/worker_standin.cpp
+++ b/tests/soak/worker_standin.cpp
@@ -94,9 +94,12 @@
 
     HttpHeaders headers(const std::string &type) const
     {
-        return {{"Content-Type", type},
-                {"X-Hawthornslip-Attempt-Id", m_id},
-                {"X-Hawthornslip-Response-Stamp", "soak." + m_worker.m_id}};
+        HttpHeaders headers = {{"Content-Type", type},
+                               {"X-Hawthornslip-Attempt-Id", m_id},
+                               {"X-Hawthornslip-Response-Stamp", "soak." + m_worker.m_id}};
+        if (m_worker.m_isLeaving)
+            headers.emplace_back("Server-Leaving", "1");
+        return headers;
     }
 
     WorkerStandin &m_worker;
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -32,6 +32,9 @@
     /** Sends a second answer that nobody asked for after half of the answers until @p until. */
     void sendExtraUntil(TimePoint until) { m_extraUntil = until; }
 
+    /** Says in all answers from now on that it leaves. */
+    void beginLeaving() { m_isLeaving = true; }
+
     const std::string &id() const { return m_id; }
     const std::string &service() const { return m_service; }
 
@@ -58,6 +61,7 @@
     double m_failShare = 0;
     TimePoint m_fullUntil{};
     TimePoint m_extraUntil{};
+    bool m_isLeaving = false;
 };
 
 } // namespace hawthornslip::soak
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -58,6 +58,7 @@
         meta.hasResponseStamp = findHeader(headers, "proof") != nullptr;
         meta.isMisdirected = status == kMisdirected;
         meta.certainlyNotRun = meta.isMisdirected || findHeader(headers, "not-run") != nullptr;
+        meta.isLeaving = findHeader(headers, "leaving") != nullptr;
         if (const auto *limit = findHeader(headers, "limit"))
             meta.requestLimit = std::stod(*limit);
         return meta;
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -54,7 +54,9 @@
     's/end.result == UpstreamResult::Complete\)\n        onCompleteAnswer/end.result != UpstreamResult::ConnectFailed)\n        onCompleteAnswer/' \
     'ended as whole'
 try "a drained upstream gets nothing" modules/upstreams/upstream_directory.cpp \
-    's/entry.draining \|\| record.leaving/record.leaving/' 'after it drained'
+    's/entry.draining \|\| record.unusable/record.unusable/' 'after it drained'
+try "an upstream that says it leaves gets nothing" servers/gateway/gateway.cpp \
+    's/if \(answer.isLeaving && /if (false && /' 'had heard it leaves'
 try "a cut watch is no outage" modules/upstreams/upstream_directory.cpp \
     's/if \(away >= [^\n]*\n/if (away >= Duration(0))\n/' 'after it drained'
 try "a revoked key is not served" modules/freshness/config_cache.cpp \
