Require keys when the list of workspaces is empty

Cause: an empty vector stood both for a missing list, which needs no keys, and for a list of nobody.

Evidence, untouched code: all gateways log the new version as in force with no workspaces, an unknown key works too, and the upstreams see no workspace; so neither an older version nor a cached key explains it.

Change: RoutingConfig::workspaces is optional. Without a value no key is needed, with an empty list none is valid.

The soak also takes all keys away.

--- a/modules/routing/route_table.cpp
+++ b/modules/routing/route_table.cpp
@@ -32,7 +32,9 @@
     }
     for (const auto &it : m_config.services)
         m_services[it.name] = &it;
-    for (const auto &workspace : m_config.workspaces) {
+    if (!m_config.workspaces)
+        return;
+    for (const auto &workspace : *m_config.workspaces) {
         for (const auto &key : workspace.apiKeys)
             m_workspaces[key] = &workspace;
     }
--- a/modules/routing/route_table.h
+++ b/modules/routing/route_table.h
@@ -52,7 +52,7 @@
     Duration shortestPauseObjective(std::string_view service) const;
 
     /** @return true when requests to routes that are not public need an API key. */
-    bool requiresApiKeys() const { return !m_config.workspaces.empty(); }
+    bool requiresApiKeys() const { return m_config.workspaces.has_value(); }
 
     const RoutingConfig &config() const { return m_config; }
 
--- a/modules/routing/routing_config.h
+++ b/modules/routing/routing_config.h
@@ -97,8 +97,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     CallerLimits limits;
-    /** When empty, requests need no API key. */
-    std::vector<KeyedWorkspace> workspaces;
+    /** Without a value, requests need no API key; with an empty list, no key is valid. */
+    std::optional<std::vector<KeyedWorkspace>> workspaces;
 };
 
 } // namespace hawthornslip
--- a/modules/routing/tests/route_table_test.cpp
+++ b/modules/routing/tests/route_table_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(findsLongestPrefix);
     CPPUNIT_TEST(keepsHostsApart);
     CPPUNIT_TEST(findsWorkspaceByEachKey);
+    CPPUNIT_TEST(emptyListOfWorkspacesRequiresKeys);
     CPPUNIT_TEST(splitsByWeight);
     CPPUNIT_TEST(findsShortestPauseObjective);
     CPPUNIT_TEST_SUITE_END();
@@ -61,7 +62,8 @@
     void findsWorkspaceByEachKey()
     {
         RoutingConfig config;
-        config.workspaces = {{"first", {"k1", "k2"}, 1}, {"second", {"k3"}, 0}};
+        config.workspaces.emplace(
+                {KeyedWorkspace{"first", {"k1", "k2"}, 1}, KeyedWorkspace{"second", {"k3"}, 0}});
         const RouteTable table(config);
         CPPUNIT_ASSERT_EQUAL(std::string("first"), table.findWorkspace("k2")->name);
         CPPUNIT_ASSERT_EQUAL(std::string("second"), table.findWorkspace("k3")->name);
@@ -70,6 +72,18 @@
         CPPUNIT_ASSERT(table.requiresApiKeys());
     }
 
+    // Guards against a configuration without any valid key that opens all routes to everybody.
+    void emptyListOfWorkspacesRequiresKeys()
+    {
+        RoutingConfig config;
+        CPPUNIT_ASSERT(!RouteTable(config).requiresApiKeys());
+        config.workspaces.emplace();
+        const RouteTable table(config);
+        CPPUNIT_ASSERT(table.requiresApiKeys());
+        CPPUNIT_ASSERT(table.findWorkspace("k1") == nullptr);
+        CPPUNIT_ASSERT(table.findWorkspace("") == nullptr);
+    }
+
     // Guards against a weighted split that gives a service more than its share.
     void splitsByWeight()
     {
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -84,7 +84,8 @@
              {{"version", config.version},
               {"before", before},
               {"routes", config.routes.size()},
-              {"workspaces", config.workspaces.size()}});
+              {"needs_keys", config.workspaces.has_value()},
+              {"workspaces", config.workspaces ? config.workspaces->size() : 0}});
     notifyChanged();
 }
 
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST_SUITE(DecodersTest);
     CPPUNIT_TEST(decodesConfig);
     CPPUNIT_TEST(rejectsMalformedConfig);
+    CPPUNIT_TEST(emptyListOfTenantsIsNotAMissingOne);
+    CPPUNIT_TEST(rejectsListsOfAnotherType);
     CPPUNIT_TEST(decodesUpstream);
     CPPUNIT_TEST(rejectsMalformedUpstreamEntries);
     CPPUNIT_TEST(readsCallHeaders);
@@ -91,7 +93,7 @@
         CPPUNIT_ASSERT(!config.routes[1].isRepeatable());
         CPPUNIT_ASSERT_EQUAL(64U, config.services[0].engine->slots);
         CPPUNIT_ASSERT(config.limits.headerTimeout == seconds(3));
-        CPPUNIT_ASSERT_EQUAL(std::string("k2"), config.workspaces[0].apiKeys[1]);
+        CPPUNIT_ASSERT_EQUAL(std::string("k2"), config.workspaces->at(0).apiKeys[1]);
     }
 
     // Guards against a malformed configuration that takes effect in part.
@@ -111,6 +113,35 @@
         CPPUNIT_ASSERT(!decodeConfig("other", Json::parse(kConfig)).value);
     }
 
+    // Guards against requests with revoked and with unknown keys after the last tenant is removed.
+    void emptyListOfTenantsIsNotAMissingOne()
+    {
+        auto body = Json::parse(kConfig);
+        body["tenants"] = Json::array();
+        const auto empty = decodeConfig("main", body);
+        CPPUNIT_ASSERT(empty.value && empty.value->workspaces);
+        CPPUNIT_ASSERT(empty.value->workspaces->empty());
+        body.erase("tenants");
+        const auto missing = decodeConfig("main", body);
+        CPPUNIT_ASSERT(missing.value && !missing.value->workspaces);
+        body["tenants"] = {{{"name", "t1"}, {"api_keys", Json::array()}}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decodeConfig("main", body).value->workspaces->size());
+    }
+
+    // Guards against a list that is taken for an empty one, which would close or open all routes.
+    void rejectsListsOfAnotherType()
+    {
+        for (const char *field : {"tenants", "routes", "services"}) {
+            for (const auto &value : {Json(), Json::object(), Json("none"), Json(0), Json(false)}) {
+                auto body = Json::parse(kConfig);
+                body[field] = value;
+                const auto decoded = decodeConfig("main", body);
+                CPPUNIT_ASSERT_MESSAGE(field + value.dump(), !decoded.value);
+                CPPUNIT_ASSERT(decoded.fault.find(field) != std::string::npos);
+            }
+        }
+    }
+
     void decodesUpstream()
     {
         auto body = Json::parse(kUpstream);
--- a/tests/servers/gateway/crashing_prompt_test.cpp
+++ b/tests/servers/gateway/crashing_prompt_test.cpp
@@ -37,7 +37,8 @@
     Service service;
     service.name = "models";
     config.services = {service};
-    config.workspaces = {{"laundry", {"secret"}, 0}, {"salon", {"other"}, 0}};
+    config.workspaces.emplace(
+            {KeyedWorkspace{"laundry", {"secret"}, 0}, KeyedWorkspace{"salon", {"other"}, 0}});
     return config;
 }
 
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -84,7 +84,7 @@
     Service service;
     service.name = "models";
     config.services = {service};
-    config.workspaces = {{"laundry", {"secret"}, 0}};
+    config.workspaces.emplace({KeyedWorkspace{"laundry", {"secret"}, 0}});
     return config;
 }
 
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(relaysCompleteAnswer);
     CPPUNIT_TEST(doesNotForwardReservedHeaders);
     CPPUNIT_TEST(refusesUnknownKeyAndRoute);
+    CPPUNIT_TEST(refusesAllKeysWithoutWorkspaces);
     CPPUNIT_TEST(answers503BeforeAnyConfiguration);
     CPPUNIT_TEST(refusesNewRequestsBeforeStop);
     CPPUNIT_TEST(doesNotRetryNonIdempotentThatMayHaveRun);
@@ -192,6 +193,28 @@
         CPPUNIT_ASSERT(m_client.calls.empty());
     }
 
+    // Guards against routes that are open to everybody after the last workspace is removed.
+    void refusesAllKeysWithoutWorkspaces()
+    {
+        auto config = makeConfig();
+        config.version += 1;
+        config.workspaces.emplace();
+        m_fleet->gateway(0).state().configSink().onChange({"main", false, config, ""});
+        m_fleet->gateway(0).state().configSink().onConfirmed(m_fleet->loop.now(), {0, 2});
+        CPPUNIT_ASSERT_EQUAL(401, call("/order/1")->status);
+        CPPUNIT_ASSERT_EQUAL(401, m_fleet->call(0, "/order/1", {})->status);
+        CPPUNIT_ASSERT(m_client.calls.empty());
+        // The older version, which names the key, is refused, and a version without the list opens
+        // the routes as its writer says.
+        m_fleet->gateway(0).state().configSink().onChange({"main", false, makeConfig(), ""});
+        CPPUNIT_ASSERT_EQUAL(401, call("/order/1")->status);
+        config.version += 1;
+        config.workspaces.reset();
+        m_fleet->gateway(0).state().configSink().onChange({"main", false, config, ""});
+        m_fleet->call(0, "/order/1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_client.calls.size());
+    }
+
     // Guards against a request on a keep-alive connection that is accepted shortly before the
     // process ends and is then cut off. Requests accepted earlier are still served.
     void refusesNewRequestsBeforeStop()
--- a/tests/servers/gateway/limited_upstream_test.cpp
+++ b/tests/servers/gateway/limited_upstream_test.cpp
@@ -38,7 +38,7 @@
     Service service;
     service.name = "models";
     config.services = {service};
-    config.workspaces = {{"laundry", {"secret"}, 0}};
+    config.workspaces.emplace({KeyedWorkspace{"laundry", {"secret"}, 0}});
     return config;
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -156,12 +156,15 @@
                           {"resumable", i == 3},
                           {"service", isOrder ? m_orderService : "app"}});
     }
+    Json tenants = Json::array();
+    if (!m_keys.empty())
+        tenants.push_back({{"name", "t"}, {"api_keys", m_keys}, {"priority", 0}});
     m_version += 1 + m_random() % 5;
     m_store.put("config", "main",
                 {{"version", m_version},
                  {"routes", routes},
                  {"services", {{{"name", "app"}}, {{"name", "other"}}}},
-                 {"tenants", {{{"name", "t"}, {"api_keys", m_keys}, {"priority", 0}}}}});
+                 {"tenants", tenants}});
 }
 
 void SoakRun::scheduleCall()
@@ -205,14 +208,14 @@
 
 void SoakRun::planFaults()
 {
-    static constexpr std::array<Fault, 20> kFaults = {
+    static constexpr std::array<Fault, 21> kFaults = {
             &SoakRun::stopGateway,   &SoakRun::killGateway,      &SoakRun::pauseGateway,
             &SoakRun::cutStore,      &SoakRun::delayStore,       &SoakRun::resetStore,
             &SoakRun::refuseStore,   &SoakRun::forgetHistory,    &SoakRun::crashWorker,
             &SoakRun::drainWorker,   &SoakRun::failWorker,       &SoakRun::fillWorker,
             &SoakRun::resetWorkers,  &SoakRun::delayWorker,      &SoakRun::revokeKey,
             &SoakRun::moveOrders,    &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers,
-            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers};
+            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers,   &SoakRun::revokeAllKeys};
     // Some seeds play few kinds, so that the checks that need calm get their turn.
     const std::size_t kinds = 1 + pick(6);
     std::vector<Fault> chosen;
@@ -467,6 +470,15 @@
     m_judge.onKeyRevoked(key, m_loop.now());
 }
 
+void SoakRun::revokeAllKeys()
+{
+    note("all keys are revoked");
+    const auto revoked = std::exchange(m_keys, {});
+    putConfig();
+    for (const auto &it : revoked)
+        m_judge.onKeyRevoked(it, m_loop.now());
+}
+
 void SoakRun::moveOrders()
 {
     if (m_orderService != "app")
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -81,6 +81,7 @@
     void resetWorkers();
     void delayWorker();
     void revokeKey();
+    void revokeAllKeys();
     void moveOrders();
 
     std::size_t pick(std::size_t n) { return n == 0 ? 0 : m_random() % n; }
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -61,6 +61,9 @@
     's/if \(away >= [^\n]*\n/if (away >= Duration(0))\n/' 'after it drained'
 try "a revoked key is not served" modules/freshness/config_cache.cpp \
     's/m_trust.revokeWithin - kWatchLag/m_trust.revokeWithin + 20 * kWatchLag/' 'key was revoked'
+try "an empty list of workspaces opens nothing" modules/routing/route_table.h \
+    's/return m_config.workspaces.has_value\(\);/return m_config.workspaces \&\& !m_config.workspaces->empty();/' \
+    'key was revoked'
 try "a change takes effect" modules/freshness/config_cache.cpp \
     's/if \(m_table && config.version <= [^\n]*\n/if (m_table)\n/' 'after the move'
 try "repeats stay in their budget" servers/gateway/exchange.cpp \
