Answer the requests that are open at the end of the grace

What was taken earlier and still open at the end was cut off without an answer, also held requests that no upstream had got.

Cause: the loop stopped, and the gateway did not know its open exchanges.

Change: the gateway knows them. At the end of the grace each gets its final answer by what may have run (503, 502, or a stream broken off), and the loop runs one more tick to send them.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -360,7 +360,13 @@
         m_gateway.refuseNew();
     }
     m_callerServer.closeIdle();
-    if (m_callerServer.connections() == 0 || since > m_settings.stopGrace - kExitMargin)
+    const bool isGraceOver = since > m_settings.stopGrace - kExitMargin;
+    if (isGraceOver && !std::exchange(m_hasEndedRequests, true)) {
+        // Their answers are sent until the next tick.
+        m_gateway.endRequests();
+        return;
+    }
+    if (isGraceOver || m_callerServer.connections() == 0)
         m_loop.stop();
 }
 
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -90,6 +90,7 @@
     boost::asio::signal_set m_signals;
     TimePoint m_stopStartedAt{};
     bool m_stoppedAccepting = false;
+    bool m_hasEndedRequests = false;
 };
 
 } // namespace hawthornslip
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -492,6 +492,11 @@
 void Exchange::onTimeout()
 {
     m_timer = 0;
+    end(Reason::DeadlineExceeded);
+}
+
+void Exchange::end(Reason reason)
+{
     if (m_done)
         return;
     if (m_call) {
@@ -499,7 +504,7 @@
         if (m_executionTracker.current() == AttemptState::Sent)
             m_executionTracker.setState(AttemptState::Lost);
     }
-    failOrAbort(Reason::DeadlineExceeded);
+    failOrAbort(reason);
 }
 
 void Exchange::onCallerGone()
@@ -535,6 +540,7 @@
     if (m_done)
         return;
     m_done = true;
+    m_gateway.onExchangeDone(*this);
     if (m_ticket != 0)
         m_service->holdQueue.remove(std::exchange(m_ticket, 0));
     auto &parts = m_gateway.parts();
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -32,6 +32,9 @@
     /** Routes the request, then sends, holds or refuses it; a refusal is answered at once. */
     void start();
 
+    /** Gives the caller its final answer now, which says whether the request may have run. */
+    void end(Reason reason);
+
     void onCallerGone() override;
     void onSendBufferEmpty() override;
 
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -4,6 +4,8 @@
 #include "modules/ownership/rendezvous_hash.h"
 #include "servers/gateway/exchange.h"
 
+#include <utility>
+
 namespace hawthornslip {
 
 namespace {
@@ -60,10 +62,22 @@
                                                  std::shared_ptr<ResponseWriter> writer)
 {
     auto exchange = std::make_shared<Exchange>(*this, std::move(request), std::move(writer));
+    m_open.emplace(exchange.get(), exchange);
     exchange->start();
     return exchange;
 }
 
+void Gateway::endRequests()
+{
+    const auto open = std::exchange(m_open, {});
+    if (!open.empty())
+        logEvent(LogLevel::Warning, "requests_ended_by_stop", {{"requests", open.size()}});
+    for (const auto &[key, it] : open) {
+        if (const auto exchange = it.lock())
+            exchange->end(Reason::Draining);
+    }
+}
+
 CallerLimits Gateway::limits() const
 {
     const auto &table = m_state.config().table();
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -19,9 +19,12 @@
 #include <memory>
 #include <random>
 #include <string_view>
+#include <unordered_map>
 
 namespace hawthornslip {
 
+class Exchange;
+
 /** Dependencies of a gateway; all must outlive it. */
 struct GatewayParts
 {
@@ -89,6 +92,9 @@
     void onUpstreamAnswer(const UpstreamId &upstream, const ResponseMeta &answer);
     /** Refuses requests that arrive from now on, because the process ends soon. */
     void refuseNew() { m_refusing = true; }
+    /** Gives all open requests their final answer, because the process ends now. */
+    void endRequests();
+    void onExchangeDone(const Exchange &exchange) { m_open.erase(&exchange); }
     bool isRefusing() const { return m_refusing; }
     std::mt19937_64 &random() { return m_random; }
     /** @return false when log lines of @p level about single requests exceed their rate. */
@@ -109,6 +115,8 @@
     bool m_stopping = false;
     bool m_refusing = false;
     std::function<void()> m_loadChanged;
+    /** Exchanges without a final answer. */
+    std::unordered_map<const Exchange *, std::weak_ptr<Exchange>> m_open;
     TokenBucket m_infoLines;
     TokenBucket m_warningLines;
     std::uint64_t m_droppedLines = 0;
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(refusesAllKeysWithoutWorkspaces);
     CPPUNIT_TEST(answers503BeforeAnyConfiguration);
     CPPUNIT_TEST(refusesNewRequestsBeforeStop);
+    CPPUNIT_TEST(openRequestsAreAnsweredAtTheEndOfTheGrace);
     CPPUNIT_TEST(doesNotRetryNonIdempotentThatMayHaveRun);
     CPPUNIT_TEST(retriesRefusedNonIdempotent);
     CPPUNIT_TEST(upstreamThatSaysItLeavesGetsNoNewRequests);
@@ -234,6 +235,37 @@
         CPPUNIT_ASSERT_EQUAL(200, inTime->status);
     }
 
+    // Guards against requests that are cut off without an answer when the process ends, among them
+    // held ones that no upstream has got, and against a refusal of one that may have run.
+    void openRequestsAreAnsweredAtTheEndOfTheGrace()
+    {
+        const auto stream = call("/chat/1");
+        m_client.calls.at(0)->handler->onHeaders(200, kProvenStream);
+        m_client.calls.at(0)->handler->onData(kTwoEvents);
+        const auto sent = call("/order/1");
+        // Upstreams that take nothing for now hold up the next ones.
+        std::shared_ptr<CallerView> held;
+        for (int i = 0; i < 100 && !held; ++i) {
+            const auto before = m_client.calls.size();
+            const auto view = call("/order/1");
+            if (m_client.calls.size() > before)
+                m_client.calls.back()->answer(200, {{"proof", "1"}, {"limit", "1"}}, "ok");
+            else
+                held = view;
+        }
+        CPPUNIT_ASSERT(held && held->status == 0);
+        m_fleet->gateway(0).endRequests();
+        CPPUNIT_ASSERT(stream->aborted && !stream->ended);
+        CPPUNIT_ASSERT_EQUAL(503, held->status);
+        CPPUNIT_ASSERT(held->ended && held->body.find("\"not_run\"") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(502, sent->status);
+        CPPUNIT_ASSERT(sent->ended && sent->body.find("may_have_run") != std::string::npos);
+        // Nothing is sent afterwards.
+        const auto calls = m_client.calls.size();
+        m_fleet->loop.advance(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(calls, m_client.calls.size());
+    }
+
     // Guards against a node that answers 404 or 401 because it has not received a configuration.
     void answers503BeforeAnyConfiguration()
     {
