Ask AnswerEvidence whether an upstream leaves

What an answer proves (run, not run, leaving, complete) was in one class but for the leaving. The exchange now makes the evidence from the head once, and the gateway and the relay take it from there. No decision changes.

--- a/modules/retry/answer_evidence.h
+++ b/modules/retry/answer_evidence.h
@@ -22,9 +22,9 @@
 };
 
 /**
- * What the answer of an upstream proves about its request: whether it has run, and whether the
- * answer is the upstream's and complete. A status that tells the caller "not run" proves nothing by
- * itself.
+ * What the answer of an upstream proves: whether its request has run, whether the answer is the
+ * upstream's and complete, and whether the upstream leaves. A status that tells the caller "not
+ * run" proves nothing by itself.
  */
 class AnswerEvidence
 {
@@ -36,12 +36,18 @@
     /** @return the HTTP status, 0 before the answer. */
     int status() const { return m_status; }
 
+    /** @return what the head says. */
+    const ResponseMeta &meta() const { return m_meta; }
+
     /** @return true when the answer has the stamp of an upstream. */
     bool hasStamp() const { return m_meta.hasResponseStamp; }
 
     /** @return true when the upstream states that it has not run the request. */
     bool isNotRun() const { return m_meta.certainlyNotRun; }
 
+    /** @return true when the upstream states that it leaves, whatever became of the request. */
+    bool isLeaving() const { return m_meta.isLeaving; }
+
     /** @return true when the address belongs to another upstream by now. */
     bool isOtherUpstream() const { return m_meta.isMisdirected; }
 
--- a/modules/retry/tests/answer_evidence_test.cpp
+++ b/modules/retry/tests/answer_evidence_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(statementIsBelievedWithAnyFailure);
     CPPUNIT_TEST(successNeedsAStamp);
     CPPUNIT_TEST(otherFailuresHaveRun);
+    CPPUNIT_TEST(anyAnswerMaySayThatItsUpstreamLeaves);
     CPPUNIT_TEST(streamMissesItsLastEvent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +79,19 @@
         }
     }
 
+    // Guards against an upstream that leaves and is heard only when it serves a request.
+    void anyAnswerMaySayThatItsUpstreamLeaves()
+    {
+        for (const bool isNotRun : {false, true}) {
+            auto meta = makeMeta(!isNotRun, isNotRun);
+            CPPUNIT_ASSERT(!AnswerEvidence(503, meta).isLeaving());
+            meta.isLeaving = true;
+            for (const int status : {200, 404, 421, 500, 503})
+                CPPUNIT_ASSERT(AnswerEvidence(status, meta).isLeaving());
+        }
+        CPPUNIT_ASSERT(!AnswerEvidence().isLeaving());
+    }
+
     // Guards against a stream that ends as complete although its upstream broke it off.
     void streamMissesItsLastEvent()
     {
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -254,16 +254,16 @@
 
 void Exchange::onHead(int status, HttpHeaders headers)
 {
-    const auto answer = m_gateway.parts().dialect.readResponse(status, headers);
+    const AnswerEvidence answer(status, m_gateway.parts().dialect.readResponse(status, headers));
     // A stream goes on only with an answer like the one that it began with.
     const bool hasStreamStatus =
             m_relay.hasBegun() ? status == m_relay.status() : isSuccess(status);
     const bool isStream = m_route->kind == RouteKind::Streaming && hasStreamStatus &&
-                          answer.hasResponseStamp && isEventStream(headers);
-    if (!answer.certainlyNotRun)
+                          answer.hasStamp() && isEventStream(headers);
+    if (!answer.isNotRun())
         m_executionTracker.setState(AttemptState::Begun);
     m_gateway.onUpstreamAnswer(m_placement.upstream.id, answer);
-    m_relay.onHead(std::move(headers), AnswerEvidence(status, answer), isStream);
+    m_relay.onHead(std::move(headers), answer, isStream);
 }
 
 bool Exchange::onPiece(std::string_view piece)
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -154,10 +154,10 @@
     }
 }
 
-void Gateway::onUpstreamAnswer(const UpstreamId &upstream, const ResponseMeta &answer)
+void Gateway::onUpstreamAnswer(const UpstreamId &upstream, const AnswerEvidence &answer)
 {
-    m_upstreamLimits.onAnswer(upstream, answer);
-    if (answer.isLeaving && m_state.upstreams().markLeaving(upstream, m_parts.loop.now()))
+    m_upstreamLimits.onAnswer(upstream, answer.meta());
+    if (answer.isLeaving() && m_state.upstreams().markLeaving(upstream, m_parts.loop.now()))
         logEvent(LogLevel::Info, "upstream_leaving", {{"upstream", upstream.value}});
 }
 
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "core/interfaces/wire_dialect.h"
 #include "modules/limits/token_bucket.h"
 #include "modules/peers/peer_loads.h"
+#include "modules/retry/answer_evidence.h"
 #include "modules/routing/route_table.h"
 #include "servers/gateway/prompt_guard.h"
 #include "servers/gateway/service_context.h"
@@ -89,7 +90,7 @@
     Duration spentBefore(const std::string &route, Duration left);
     void notifyLoadChanged();
     /** Records what the head of an answer says about its upstream. */
-    void onUpstreamAnswer(const UpstreamId &upstream, const ResponseMeta &answer);
+    void onUpstreamAnswer(const UpstreamId &upstream, const AnswerEvidence &answer);
     /** Refuses requests that arrive from now on, because the process ends soon. */
     void refuseNew() { m_refusing = true; }
     /** Gives all open requests their final answer, because the process ends now. */
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -56,7 +56,7 @@
 try "a drained upstream gets nothing" modules/upstreams/upstream_directory.cpp \
     's/entry.draining \|\| record.unusable/record.unusable/' 'after it drained'
 try "an upstream that says it leaves gets nothing" servers/gateway/gateway.cpp \
-    's/if \(answer.isLeaving && /if (false && /' 'had heard it leaves'
+    's/if \(answer.isLeaving\(\) && /if (false && /' 'had heard it leaves'
 try "a cut watch is no outage" modules/upstreams/upstream_directory.cpp \
     's/if \(away >= [^\n]*\n/if (away >= Duration(0))\n/' 'after it drained'
 try "a revoked key is not served" modules/freshness/config_cache.cpp \
