--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -20,7 +20,7 @@
 constexpr Duration kAckTimeout = seconds(3);
 // The platform checks readiness every second and stops routing to a node after two failures.
 constexpr Duration kDeregistrationDelay = milliseconds(2500);
-// Part of the grace period that is left for the process to exit.
+// Part of the grace period that is left to answer open requests and to exit.
 constexpr Duration kExitMargin = milliseconds(600);
 constexpr Duration kTickInterval = milliseconds(200);
 constexpr Duration kNodeRelayWatch = seconds(10);
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -79,8 +79,8 @@
     /**
      * Records that the store answers this node again.
      *
-     * @param away longest time that the store may have been away. Entries expire only in an outage
-     *        in which an upstream could renew its entry none of the times that the platform waits.
+     * @param away longest time that the store may have been away. Entries expire only if upstreams
+     *        could not renew them for as many intervals as the platform waits.
      */
     void onStoreRecovered(TimePoint now, Duration away);
 
@@ -111,7 +111,7 @@
     /**
      * @return the upstreams of @p service that may get new requests. Recently removed, ended and
      *         leaving ones are included only when there are no others, or when they may register
-     * again after a store outage.
+     *         again after a store outage.
      */
     std::vector<UpstreamEntry> usable(std::string_view service, TimePoint now) const;
 
