--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -98,12 +98,10 @@
     const auto seen = m_leavingSeen.find({gateway, upstream});
     if (seen == m_leavingSeen.end() || sent.at <= seen->second + m_bounds.drainWithin)
         return;
-    // A gateway that started again or was paused since then need not know it.
-    for (const auto *faults : {&m_troubledUntil, &m_stoppedUntil}) {
-        const auto fault = faults->find(gateway);
-        if (fault != faults->end() && fault->second >= seen->second)
-            return;
-    }
+    // A cut from the store or from upstreams is no excuse.
+    const auto interrupted = m_interruptedUntil.find(gateway);
+    if (interrupted != m_interruptedUntil.end() && interrupted->second >= seen->second)
+        return;
     report(fmt::format("request {} reached {}, sent {} ms after gateway {} had heard it leaves", id,
                        upstream, toMillis(sent.at - seen->second), gateway));
 }
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -65,6 +65,12 @@
     /** Notes a fault that touches all gateways. */
     void onFaultOfAll(TimePoint until) { m_allTroubledUntil = std::max(m_allTroubledUntil, until); }
 
+    /** Notes that @p gateway starts anew or is paused until then, which excuses what it forgets. */
+    void onInterrupted(std::size_t gateway, TimePoint until)
+    {
+        m_interruptedUntil[gateway] = std::max(m_interruptedUntil[gateway], until);
+    }
+
     /** Notes that the store acknowledged the end of @p key. */
     void onKeyRevoked(const std::string &key, TimePoint at) { m_revoked[key] = at; }
     /** Notes that the store acknowledged that @p upstream drains. */
@@ -122,6 +128,7 @@
     /** By gateway, unplanned faults and stops by signal. */
     std::map<std::size_t, TimePoint> m_troubledUntil;
     std::map<std::size_t, TimePoint> m_stoppedUntil;
+    std::map<std::size_t, TimePoint> m_interruptedUntil;
     TimePoint m_allTroubledUntil{};
     std::map<std::string, TimePoint> m_revoked;
     std::map<std::string, TimePoint> m_draining;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -242,6 +242,7 @@
             m_judge.onFault(i, m_loop.now());
         note(fmt::format("gateway {} starts again", i));
         m_judge.onFault(i, m_loop.now() + seconds(1), true);
+        m_judge.onInterrupted(i, m_loop.now());
         gateway.start();
     }
     m_loop.after(kLook, [this] { watchGateways(); });
@@ -269,6 +270,7 @@
     const Duration length = between(milliseconds(300), seconds(7));
     note(fmt::format("gateway {} pauses for {} ms", i, toMillis(length)));
     m_judge.onFault(i, m_loop.now() + length);
+    m_judge.onInterrupted(i, m_loop.now() + length);
     m_gateways[i]->signal(SIGSTOP);
     m_loop.after(length, [this, i] { m_gateways[i]->signal(SIGCONT); });
 }
