--- a/drivers/toml/gateway_settings_reader.cpp
+++ b/drivers/toml/gateway_settings_reader.cpp
@@ -9,6 +9,47 @@
 using Keys = SettingsKeyFactory<GatewaySettings>;
 using Schema = std::vector<SettingsKey<GatewaySettings>>;
 
+std::string storeDuties(const TomlValue &value, GatewaySettings &settings)
+{
+    const auto *names = std::get_if<std::vector<std::string>>(&value.value);
+    if (names == nullptr)
+        return "must be a list of strings";
+    settings.duties.duties.clear();
+    // A deployment may ask for duties that this version does not know.
+    for (const auto &it : *names) {
+        if (const auto duty = valueOf(kDutyNames, it))
+            settings.duties.duties.push_back(*duty);
+    }
+    return {};
+}
+
+void addDutyKeys(Schema &keys)
+{
+    using S = GatewaySettings;
+    constexpr std::int64_t kLongestSeconds = 3600;
+    constexpr double kMostCalls = 100'000;
+    keys.push_back({"duties", "provider", false,
+                    Keys::textKey(
+                            [](S & s) -> auto & { return s.duties.provider; }, checkAddress)});
+    keys.push_back({"duties", "perform", false, storeDuties});
+    keys.push_back(
+            {"duties", "calls_per_s", false,
+             Keys::realKey(
+                     [](S & s) -> auto & { return s.duties.callsPerSecond; }, 0, kMostCalls)});
+    keys.push_back(
+            {"duties", "lease_ms", false,
+             Keys::millisKey(
+                     [](S & s) -> auto & { return s.duties.lease; }, 1, 1000 * kLongestSeconds)});
+    keys.push_back(
+            {"duties", "report_window_s", false,
+             Keys::secondsKey(
+                     [](S & s) -> auto & { return s.duties.reportWindow; }, 1, kLongestSeconds)});
+    keys.push_back(
+            {"duties", "report_due_s", false,
+             Keys::secondsKey(
+                     [](S & s) -> auto & { return s.duties.reportDue; }, 0, kLongestSeconds)});
+}
+
 Schema makeSchema()
 {
     using S = GatewaySettings;
@@ -41,6 +82,9 @@
     keys.push_back({"limits", "max_descriptors", false,
                     Keys::numberKey(
                             [](S & s) -> auto & { return s.maxDescriptors; }, 64, 1 << 20)});
+    keys.push_back({"limits", "memory_mb", false,
+                    Keys::numberKey(
+                            [](S & s) -> auto & { return s.memoryMb; }, 0, 1 << 20)});
     keys.push_back({"keys", "fail_closed", false,
                     Keys::flagKey([](S & s) -> auto & { return s.failClosed; })});
     millis(
@@ -58,6 +102,7 @@
     keys.push_back({"stop", "grace_s", false,
                     Keys::secondsKey(
                             [](S & s) -> auto & { return s.stopGrace; }, 0, kLongestSeconds)});
+    addDutyKeys(keys);
     return keys;
 }
 
--- a/main/settings_watch.cpp
+++ b/main/settings_watch.cpp
@@ -46,6 +46,8 @@
     compare("listen.peers", before.peers, after.peers);
     compare("store.address", before.storeAddress, after.storeAddress);
     compare("limits.max_descriptors", before.maxDescriptors, after.maxDescriptors);
+    compare("limits.memory_mb", before.memoryMb, after.memoryMb);
+    compare("duties", before.duties, after.duties);
     compare("retries.window_s", before.retryWindow, after.retryWindow);
     return keys;
 }
--- a/tests/drivers/gateway_settings_test.cpp
+++ b/tests/drivers/gateway_settings_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(refusesHalfAFile);
     CPPUNIT_TEST(readsFractions);
     CPPUNIT_TEST(refusesTimesOutOfRange);
+    CPPUNIT_TEST(performsOnlyTheDutiesThatAreNamed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +75,24 @@
         CPPUNIT_ASSERT(result.settings.stopGrace == seconds(8));
     }
 
+    // Guards against duties that run where no setting asks for them.
+    void performsOnlyTheDutiesThatAreNamed()
+    {
+        const auto none = parseGatewaySettings(std::string(kWhole) +
+                                               "[duties]\nperform = [\"usage\", \"scale\"]\n");
+        CPPUNIT_ASSERT(none.faults.empty());
+        CPPUNIT_ASSERT(!none.settings.duties.performs(Duty::Usage));
+        const auto one = parseGatewaySettings(
+                std::string(kWhole) +
+                "[duties]\nprovider = \"10.0.0.3:90\"\nperform = [\"usage\", \"paint\"]\n"
+                "lease_ms = 3000\nreport_window_s = 5\nreport_due_s = 10\ncalls_per_s = 50.0\n");
+        CPPUNIT_ASSERT(one.faults.empty());
+        CPPUNIT_ASSERT(one.settings.duties.performs(Duty::Usage));
+        CPPUNIT_ASSERT(!one.settings.duties.performs(Duty::Scaling));
+        CPPUNIT_ASSERT(one.settings.duties.lease == seconds(3));
+        CPPUNIT_ASSERT(one.settings.duties.reportDue == seconds(10));
+    }
+
     void refusesTimesOutOfRange()
     {
         for (const auto *it : {"-1", "601.0", "nan", "\"8\"", "true"}) {
