Elect one node that performs the duties of a deployment

Cause: nothing decides which node calls the provider, so no duty is performed at all. Change: DutyElection on the lease of modules/lease, one lease object for each era of the store, a first generation for each era, a wait of one lease after a start and after a loss; DutyService on the object store of the platform; ProviderClient for the two calls. Off without [duties].

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -2,9 +2,9 @@
 # build can take the packaged headers of prometheus-cpp, which conflict with those of ulfius.
 find_path(PROMETHEUS_INCLUDE prometheus/registry.h HINTS "${HAWTHORNSLIP_PROMETHEUS_INCLUDE}" REQUIRED)
 file(GLOB gateway_sources CONFIGURE_DEPENDS
-    drivers/asio/*.cpp servers/state/*.cpp servers/gateway/*.cpp servers/peers/*.cpp platform/*.cpp)
+    drivers/asio/*.cpp servers/state/*.cpp servers/gateway/*.cpp servers/peers/*.cpp servers/duties/*.cpp platform/*.cpp)
 list(APPEND gateway_sources drivers/prometheus/prometheus_metrics.cpp drivers/toml/gateway_settings_reader.cpp
-    drivers/toml/settings_keys.cpp drivers/toml/toml_document.cpp main/gateway_main.cpp main/gateway_process.cpp
+    drivers/toml/settings_keys.cpp drivers/toml/toml_document.cpp main/gateway_main.cpp main/duty_host.cpp main/gateway_process.cpp
     main/settings_watch.cpp     main/commands/gateway_command.cpp main/commands/command.cpp main/version.cpp)
 find_package(Protobuf REQUIRED)
 add_library(hawthornslip_proto STATIC proto/generated/gateway.pb.cc)
--- a/core/interfaces/object_store.h
+++ b/core/interfaces/object_store.h
@@ -37,6 +37,8 @@
     StoreError error = StoreError::None;
     /** The object; after a write only its version is set. */
     StoredObject object;
+    /** Life of the store that the answer names, if it does; rises when it restarts from a copy. */
+    std::optional<std::uint64_t> era{};
 
     bool ok() const { return error == StoreError::None; }
 };
--- /dev/null
+++ b/main/duty_host.cpp
@@ -0,0 +1,34 @@
+#include "main/duty_host.h"
+
+#include "modules/duties/contenders.h"
+
+#include <utility>
+#include <vector>
+
+namespace hawthornslip {
+
+DutyHost::DutyHost(DutyHostParts parts, const GatewaySettings &settings, NodeId self,
+                   std::uint64_t incarnation)
+    // Shorter than the time after which the lease gives a call up.
+    : m_store(parts.client, settings.storeAddress, settings.duties.lease / 5)
+    , m_provider(parts.client, settings.duties.provider, settings.nodeName)
+    , m_duties(DutyServiceParts{parts.loop, m_store, parts.metrics}, self, incarnation,
+               settings.duties.lease, [&exchange = parts.exchange, self] {
+                   std::vector<NodeId> peers;
+                   for (const auto &it : exchange.livePeers())
+                       peers.emplace_back(it);
+                   return isDutyContender(self, std::move(peers));
+               })
+{}
+
+void DutyHost::start()
+{
+    m_duties.start();
+}
+
+void DutyHost::beginStop()
+{
+    m_duties.stop();
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/main/duty_host.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/gateway_settings.h"
+#include "core/interfaces/event_loop.h"
+#include "core/interfaces/metrics.h"
+#include "core/interfaces/upstream_client.h"
+#include "platform/object_store_client.h"
+#include "platform/provider_client.h"
+#include "servers/duties/duty_service.h"
+#include "servers/peers/load_exchange.h"
+
+#include <cstdint>
+
+namespace hawthornslip {
+
+/** Dependencies of the duties of a gateway process; all must outlive it. */
+struct DutyHostParts
+{
+    EventLoop &loop;
+    UpstreamClient &client;
+    Metrics &metrics;
+    const LoadExchange &exchange;
+};
+
+/** Owns the parts that perform the duties of a deployment whose settings name some. */
+class DutyHost
+{
+public:
+    /** @param self peer address of this node. @param incarnation random, new with each start. */
+    DutyHost(DutyHostParts parts, const GatewaySettings &settings, NodeId self,
+             std::uint64_t incarnation);
+
+    void start();
+    /** Gives the duties up, because the process stops. */
+    void beginStop();
+    /** Handles an era of the store that another call has seen. */
+    void enterEra(std::uint64_t era) { m_duties.enterEra(era); }
+
+private:
+    platform::ObjectStoreClient m_store;
+    platform::ProviderClient m_provider;
+    DutyService m_duties;
+};
+
+} // namespace hawthornslip
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -163,6 +163,7 @@
         !m_relayServer.start(m_settings.peers))
         return false;
     startFollowers();
+    startDuties();
     waitForSignal();
     m_loop.after(kTickInterval, [this] { tick(); });
     logEvent(LogLevel::Info, "gateway_started",
@@ -233,18 +234,10 @@
         m_upstreamFollower->retryNow();
         m_nodeFollower->retryNow();
     });
-    m_configFollower->onEraSeen([this](std::uint64_t era) {
-        m_upstreamFollower->enterEra(era);
-        m_nodeFollower->enterEra(era);
-    });
-    m_upstreamFollower->onEraSeen([this](std::uint64_t era) {
-        m_configFollower->enterEra(era);
-        m_nodeFollower->enterEra(era);
-    });
-    m_nodeFollower->onEraSeen([this](std::uint64_t era) {
-        m_configFollower->enterEra(era);
-        m_upstreamFollower->enterEra(era);
-    });
+    m_configFollower->onEraSeen([this](std::uint64_t era) { onEraSeen(StateKind::Config, era); });
+    m_upstreamFollower->onEraSeen(
+            [this](std::uint64_t era) { onEraSeen(StateKind::Upstreams, era); });
+    m_nodeFollower->onEraSeen([this](std::uint64_t era) { onEraSeen(StateKind::Nodes, era); });
     const auto isStoreLost = [this] { return m_configFollower->isFailing(); };
     m_upstreamFollower->deferRetriesWhile(isStoreLost);
     m_nodeFollower->deferRetriesWhile(isStoreLost);
@@ -262,6 +255,28 @@
     m_gateway.upstreamLimits().onNews([this] { m_exchange.onLoadChanged(); });
 }
 
+void GatewayProcess::onEraSeen(StateKind by, std::uint64_t era)
+{
+    if (by != StateKind::Config)
+        m_configFollower->enterEra(era);
+    if (by != StateKind::Upstreams)
+        m_upstreamFollower->enterEra(era);
+    if (by != StateKind::Nodes)
+        m_nodeFollower->enterEra(era);
+    if (m_duties)
+        m_duties->enterEra(era);
+}
+
+void GatewayProcess::startDuties()
+{
+    if (!m_settings.duties.performs(Duty::Usage) && !m_settings.duties.performs(Duty::Scaling))
+        return;
+    m_duties =
+            std::make_unique<DutyHost>(DutyHostParts{m_loop, m_storeClient, m_metrics, m_exchange},
+                                       m_settings, NodeId(peerAddress(m_settings)), randomSeed());
+    m_duties->start();
+}
+
 void GatewayProcess::updateReaderPace()
 {
     const FollowerTimes times = configTimes(m_settings);
@@ -343,6 +358,8 @@
     m_stopStartedAt = m_loop.now();
     m_gateway.beginStop();
     m_relay.beginStop();
+    if (m_duties)
+        m_duties->beginStop();
     logEvent(LogLevel::Info, "gateway_stopping",
              {{"signal", number}, {"active", m_callerServer.activeRequests()}});
 }
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -8,6 +8,7 @@
 #include "drivers/asio/asio_upstream_client.h"
 #include "drivers/asio/udp_peer_transport.h"
 #include "drivers/prometheus/prometheus_metrics.h"
+#include "main/duty_host.h"
 #include "main/settings_watch.h"
 #include "main/status_sink.h"
 #include "modules/peers/state_readers.h"
@@ -44,6 +45,9 @@
     /** Adapts the pace of reading to whether other nodes follow this one. */
     void updateReaderPace();
     void startFollowers();
+    /** Tells the others of an era of the store that the follower of @p by has seen. */
+    void onEraSeen(StateKind by, std::uint64_t era);
+    void startDuties();
     /** Starts to follow configuration and upstreams, unless that has been done. */
     void startStateFollowers();
     void waitForSignal();
@@ -80,6 +84,8 @@
     AsioHttpServer m_readinessServer;
     AsioHttpServer m_metricsServer;
     AsioHttpServer m_relayServer;
+    /** Set when the settings name duties. */
+    std::unique_ptr<DutyHost> m_duties;
     std::unique_ptr<RelayedFeed<RoutingConfig>> m_configFeed;
     std::unique_ptr<RelayedFeed<UpstreamEntry>> m_upstreamFeed;
     std::unique_ptr<RelayedFeed<NodeEntry>> m_nodeFeed;
--- a/modules/lease/lease_manager.cpp
+++ b/modules/lease/lease_manager.cpp
@@ -122,7 +122,8 @@
         startWrite({m_self, m_incarnation, m_lastRecord.fencing, m_lastRecord.renewals + 1}, now,
                    actions);
     else if (m_wanted && m_recordIsCurrent && mayAcquire(now))
-        startWrite({m_self, m_incarnation, m_lastRecord.fencing + 1, 0}, now, actions);
+        startWrite({m_self, m_incarnation, std::max(m_lastRecord.fencing + 1, m_firstFencing), 0},
+                   now, actions);
     else if (m_wanted)
         startRead(now, actions);
 }
--- a/modules/lease/lease_manager.h
+++ b/modules/lease/lease_manager.h
@@ -85,6 +85,9 @@
 public:
     LeaseManager(NodeId self, std::uint64_t incarnation, LeaseOptions options = {});
 
+    /** Sets the lowest fencing token that this node acquires the lease with. */
+    void setFirstFencing(std::uint64_t fencing) { m_firstFencing = fencing; }
+
     /** Sets whether this node tries to acquire and keep the lease; false releases it. */
     LeaseActions setWanted(bool wanted, TimePoint now);
 
@@ -125,6 +128,7 @@
     NodeId m_self;
     std::uint64_t m_incarnation;
     LeaseOptions m_options;
+    std::uint64_t m_firstFencing = 1;
     bool m_wanted = false;
     bool m_releasing = false;
 
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -71,6 +71,8 @@
     void onChange(const FeedItem<NodeEntry> &item) override;
     void onConfirmed(TimePoint, StatePosition) override {}
 
+    /** @return the addresses of all other nodes that this node hears. */
+    std::vector<std::string> livePeers() const { return m_peers.reachable(m_parts.loop.now()); }
     /** @return the addresses of the nodes in @p domain that this node hears. */
     std::vector<std::string> livePeers(const FailureDomain &domain) const;
 
