Let the test's silent upstream bear a connection without a request

Cause: on a busy machine the attempt times out after 50 ms before it has sent its request; the stand-in's script took the empty message for one with an id and ended the test program. Change: the script ends when no request has come; all checks stay.

--- a/tests/servers/caller/caller_loopback_test.cpp
+++ b/tests/servers/caller/caller_loopback_test.cpp
@@ -199,7 +199,11 @@
     void firstTokenTimeoutIsRetried()
     {
         RawServer silent([](RawConnection &it, int) {
-            const auto id = idOf(it.readMessage());
+            const auto request = it.readMessage();
+            // On a busy machine the attempt may time out before it has sent its request.
+            if (request.empty())
+                return;
+            const auto id = idOf(request);
             it.send(kStreamHead + id + "\r\n\r\n");
             it.waitClosed();
             // Sent after the request was repeated on another upstream; must not be delivered.
