Reserve the soak's ports for its whole run

Change: the socket stays bound without listening, which the system neither gives to others nor refuses to a gateway with reuse_address.

--- a/tests/soak/gateway_process_runner.cpp
+++ b/tests/soak/gateway_process_runner.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <fstream>
 #include <utility>
+#include <vector>
 
 extern char **environ;
 
@@ -85,12 +86,17 @@
     return m_pid != 0;
 }
 
-std::uint16_t freePort()
+std::uint16_t reservePort()
 {
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(
-            context, {boost::asio::ip::address_v4::loopback(), 0}, false);
-    return acceptor.local_endpoint().port();
+    // A socket that is bound and does not listen keeps the system from giving its port to another
+    // process, and lets a gateway listen on it.
+    static boost::asio::io_context context;
+    static std::vector<boost::asio::ip::tcp::socket> reserved;
+    auto &socket = reserved.emplace_back(context, boost::asio::ip::tcp::v4());
+    fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+    socket.set_option(boost::asio::socket_base::reuse_address(true));
+    socket.bind({boost::asio::ip::address_v4::loopback(), 0});
+    return socket.local_endpoint().port();
 }
 
 } // namespace hawthornslip::soak
--- a/tests/soak/gateway_process_runner.h
+++ b/tests/soak/gateway_process_runner.h
@@ -51,7 +51,7 @@
     int m_lastStatus = 0;
 };
 
-/** @return a port on loopback that was free a moment ago. */
-std::uint16_t freePort();
+/** @return a port on loopback that no other process gets while this one runs. */
+std::uint16_t reservePort();
 
 } // namespace hawthornslip::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -120,7 +120,7 @@
 {
     for (std::size_t i = 0; i < m_options.gateways; ++i) {
         m_storeProxies.push_back(std::make_unique<FaultProxy>(m_loop, m_storePort));
-        const GatewayPorts ports{freePort(), freePort(), freePort(), freePort(),
+        const GatewayPorts ports{reservePort(), reservePort(), reservePort(), reservePort(),
                                  m_storeProxies[i]->start()};
         m_gateways.push_back(std::make_unique<GatewayProcessRunner>(m_options.binary,
                                                                     m_options.folder, i, ports));
