Check a routing configuration before it is sent

Cause: mistakes of a configuration that nodes accept (routes that another one hides, keys held twice, timeouts below objectives, inverted priorities) showed only in service. Change: checkRouting() and diffRouting() on the decoded configuration that nodes use; `config check FILE [--against FILE]` prints them with the paths of the document.

--- a/main/commands/config_command.cpp
+++ b/main/commands/config_command.cpp
@@ -156,10 +156,15 @@
     config->require_subcommand(1);
     auto *check = config->add_subcommand("check", "Check a settings file (.toml) or a document");
     const auto path = std::make_shared<std::string>();
-    check->add_option("file", *path, "Settings file or JSON document")->required();
+    const auto against = std::make_shared<std::string>();
+    check->add_option("file", *path, "Settings file, JSON document or routing configuration")
+            ->required();
+    check->add_option("--against", *against, "Routing configuration to compare with");
     addExamples(*check, "hawthornslip config check node.toml\n  "
-                        "hawthornslip config check shared.json");
-    setCallback(*check, context, [path, &context] { return checkFile(*path, context.json); });
+                        "hawthornslip config check shared.json\n  "
+                        "hawthornslip config check routes.json --against in-force.json");
+    setCallback(*check, context,
+                [path, against, &context] { return checkFile(*path, *against, context.json); });
     addReadCommands(*config, context);
     addApplyCommand(*config, context);
 }
--- a/tests/main/offline_commands_test.cpp
+++ b/tests/main/offline_commands_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(keysNewRefusesUnknownKind);
     CPPUNIT_TEST(configCheckReportsFiveFaults);
     CPPUNIT_TEST(configCheckAcceptsExamples);
+    CPPUNIT_TEST(configCheckNamesMistakesOfRoutes);
     CPPUNIT_TEST(loadNamesFaultOfFile);
     CPPUNIT_TEST(commandsNameUnreachableNode);
     CPPUNIT_TEST(unknownCommandIsInvalidInput);
@@ -66,6 +67,36 @@
         CPPUNIT_ASSERT(std::count(result.errors.begin(), result.errors.end(), '\n') >= 5);
     }
 
+    // Guards against a routing configuration whose mistakes show only in service, and against
+    // paths that its author does not find in the document.
+    void configCheckNamesMistakesOfRoutes()
+    {
+        nlohmann::json config = {
+                {"version", 7},
+                {"routes",
+                 {{{"name", "r"},
+                   {"host", "a.example"},
+                   {"path_prefix", "/x/"},
+                   {"route_kind", "streaming"},
+                   {"timeout_ms", 500},
+                   {"goal_ms", 800},
+                   {"service", "engines"}}}},
+                {"services", {{{"name", "engines"}, {"health_path", "/h"}, {"max_conns", 9}}}},
+                {"tenants", {{{"name", "w"}, {"api_keys", {"k"}}}}}};
+        const auto before = writeFile(".json", config.dump());
+        config["routes"][0]["timeout_ms"] = 900;
+        const nlohmann::json object = {{"metadata", {{"name", "main"}}}, {"spec", config}};
+        const auto after = writeFile(".json", object.dump());
+        const auto bad = runBinary("config check --json " + before);
+        CPPUNIT_ASSERT_EQUAL(2, bad.exitCode);
+        CPPUNIT_ASSERT(contains(bad.output, "routes[0].timeout_ms"));
+        const auto good = runBinary("config check " + after + " --against " + before);
+        CPPUNIT_ASSERT_EQUAL(0, good.exitCode);
+        CPPUNIT_ASSERT(contains(good.output, "route a.example/x/: timeout 500 ms -> 900 ms"));
+        std::remove(before.c_str());
+        std::remove(after.c_str());
+    }
+
     // Guards against examples that `config check` no longer accepts.
     void configCheckAcceptsExamples()
     {
