--- a/core/metric_names.h
+++ b/core/metric_names.h
@@ -27,6 +27,8 @@
 inline constexpr std::string_view kClaims = "hawthornslip_claims_total";
 inline constexpr std::string_view kLeases = "hawthornslip_leases_total";
 inline constexpr std::string_view kOrders = "hawthornslip_upstream_orders_total";
+inline constexpr std::string_view kUsageReports = "hawthornslip_usage_reports_total";
+inline constexpr std::string_view kUsagePending = "hawthornslip_usage_reports_pending";
 
 /** The kind of a metric. */
 enum class Kind { Counter, Gauge, Histogram };
@@ -39,7 +41,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<Info, 21> kAll = {{
+inline constexpr std::array<Info, 23> kAll = {{
         {kRequests, Kind::Counter, "Requests by profile, tier and result."},
         {kRefusals, Kind::Counter, "Refused or failed requests by reason and execution."},
         {kRetries, Kind::Counter, "Repeated attempts by profile and reason."},
@@ -62,6 +64,8 @@
         {kClaims, Kind::Counter, "Claims of idempotency keys by verdict."},
         {kLeases, Kind::Counter, "Lease operations by lease and result."},
         {kOrders, Kind::Counter, "Orders to upstreams by kind and result."},
+        {kUsageReports, Kind::Counter, "Reports of usage to the provider by result."},
+        {kUsagePending, Kind::Gauge, "Reports of usage that the provider has not accepted yet."},
 }};
 
 } // namespace hawthornslip::metric
--- a/main/duty_host.h
+++ b/main/duty_host.h
@@ -7,9 +7,12 @@
 #include "platform/object_store_client.h"
 #include "platform/provider_client.h"
 #include "servers/duties/duty_service.h"
+#include "servers/duties/usage_service.h"
+#include "servers/gateway/gateway.h"
 #include "servers/peers/load_exchange.h"
 
 #include <cstdint>
+#include <memory>
 
 namespace hawthornslip {
 
@@ -19,7 +22,8 @@
     EventLoop &loop;
     UpstreamClient &client;
     Metrics &metrics;
-    const LoadExchange &exchange;
+    LoadExchange &exchange;
+    Gateway &gateway;
 };
 
 /** Owns the parts that perform the duties of a deployment whose settings name some. */
@@ -29,17 +33,21 @@
     /** @param self peer address of this node. @param incarnation random, new with each start. */
     DutyHost(DutyHostParts parts, const GatewaySettings &settings, NodeId self,
              std::uint64_t incarnation);
+    ~DutyHost();
 
     void start();
     /** Gives the duties up, because the process stops. */
     void beginStop();
     /** Handles an era of the store that another call has seen. */
-    void enterEra(std::uint64_t era) { m_duties.enterEra(era); }
+    void enterEra(std::uint64_t era);
 
 private:
+    Gateway &m_gateway;
     platform::ObjectStoreClient m_store;
     platform::ProviderClient m_provider;
     DutyService m_duties;
+    /** Set when the settings name the duty. */
+    std::unique_ptr<UsageService> m_usage;
 };
 
 } // namespace hawthornslip
--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -36,6 +36,8 @@
     std::vector<std::pair<std::uint64_t, NodeDemand>> demands;
     CrashEvidence evidence;
     std::vector<LimitNotice> limits;
+    /** A message about usage, encoded; a report with one holds nothing else. */
+    std::string usage;
 };
 
 /** Receives changes of the load and demand of peers. */
--- /dev/null
+++ b/servers/duties/usage_service.cpp
@@ -0,0 +1,254 @@
+#include "servers/duties/usage_service.h"
+
+#include "core/logger.h"
+#include "core/metric_names.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(200);
+constexpr Duration kAskInterval = seconds(1);
+// For nodes whose final counts of a window are missing.
+constexpr Duration kAskAgainInterval = milliseconds(300);
+// Answers that begin as a window ends are counted within this time at all nodes.
+constexpr Duration kSettleTime = milliseconds(100);
+// Longest wait for the final counts of a window; a node may have ended without notice.
+constexpr Duration kLongestWait = seconds(2);
+// An answer that was longer on its way does not show the other node's clock.
+constexpr Duration kMaxClockDelay = milliseconds(200);
+
+std::uint64_t totalOf(const WorkspaceCounts &counts)
+{
+    std::uint64_t total = 0;
+    for (const auto &[workspace, n] : counts)
+        total += n;
+    return total;
+}
+
+} // namespace
+
+UsageService::UsageService(UsageServiceParts parts, UsageTimes times, NodeId self)
+    : m_parts(parts)
+    , m_times(times)
+    , m_self(std::move(self))
+    , m_clock(times.window, parts.loop.wallNow(), parts.loop.now())
+    , m_counter(times)
+    , m_reporter(times)
+{
+    m_parts.peers.setUsage(this);
+}
+
+UsageService::~UsageService()
+{
+    m_parts.peers.setUsage(nullptr);
+}
+
+void UsageService::start()
+{
+    tick();
+}
+
+void UsageService::enterEra(std::uint64_t era)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    m_reporter.enterEra(era);
+}
+
+void UsageService::onRequestBegun(const std::string &workspace)
+{
+    m_counter.onBegun(workspace, m_clock.windowAt(m_parts.loop.now()));
+}
+
+void UsageService::tick()
+{
+    if (const auto term = m_parts.duties.current(m_parts.loop.now()))
+        collectAndReport(*term);
+    else
+        m_collectingSince = TimePoint{};
+    m_parts.loop.after(kTickInterval, [this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            tick();
+    });
+}
+
+void UsageService::collectAndReport(const DutyTerm &term)
+{
+    const TimePoint now = m_parts.loop.now();
+    m_clock.onNodeClock(m_self, m_parts.loop.wallNow(), now);
+    m_clock.setToMedian(now);
+    const std::uint64_t open = m_clock.windowAt(now);
+    m_collector.forgetBefore(m_times.oldestKept(open));
+    std::erase_if(m_frozen, [oldest = m_times.oldestKept(open)](const auto &it) {
+        return it.first < oldest;
+    });
+    WindowCounts ready;
+    if (const auto first = m_reporter.firstToCollect(open)) {
+        if (m_collectingSince == TimePoint{})
+            m_collectingSince = now;
+        m_collector.onCounts(m_self, 0, m_counter.countsFrom(*first));
+        m_collector.onFinal(m_self, open);
+        std::vector<NodeId> nodes;
+        for (const auto &it : m_parts.peers.livePeers())
+            nodes.emplace_back(it);
+        ask(nodes, *first, open);
+        ready = readyWindows(nodes, *first, open);
+    }
+    for (const auto &it : m_reporter.onTick({now, open, term, std::move(ready)}))
+        std::visit([this](const auto &action) { perform(action); }, it);
+    m_parts.metrics.gauge(metric::kUsagePending, {}, static_cast<double>(m_reporter.pending()));
+}
+
+void UsageService::ask(const std::vector<NodeId> &nodes, std::uint64_t first, std::uint64_t open)
+{
+    const TimePoint now = m_parts.loop.now();
+    std::erase_if(m_asked, [&](const auto &it) {
+        return std::find(nodes.begin(), nodes.end(), it.first) == nodes.end();
+    });
+    for (const auto &node : nodes) {
+        const std::uint64_t nodeFirst = m_collector.firstOpen(node, first);
+        Asked &asked = m_asked[node];
+        const Duration interval = nodeFirst < open ? kAskAgainInterval : kAskInterval;
+        if (asked.sequence != 0 && now - asked.at < interval)
+            continue;
+        asked = {++m_sequence, now, {}};
+        m_parts.peers.sendUsage(node, encodeUsageQuestion({m_sequence, nodeFirst, m_times.window,
+                                                           m_clock.timeAt(now)}));
+    }
+}
+
+WindowCounts UsageService::readyWindows(const std::vector<NodeId> &nodes, std::uint64_t first,
+                                        std::uint64_t open)
+{
+    const TimePoint now = m_parts.loop.now();
+    WindowCounts ready;
+    for (std::uint64_t window = first; window < open; ++window) {
+        const Duration waited = now - std::max(m_clock.endOf(window), m_collectingSince);
+        if (!m_reporter.needsCounts(window) || waited < kSettleTime)
+            continue;
+        WindowUsage usage = m_collector.sum(window, nodes);
+        if (usage.missing > 0 && waited < kLongestWait)
+            continue;
+        m_frozen[window] = {usage.parts, usage.missing};
+        ready[window] = std::move(usage.counts);
+    }
+    return ready;
+}
+
+void UsageService::onPeerUsage(const NodeId &node, std::uint64_t boot, const std::string &bytes)
+{
+    if (const auto message = decodeUsage(bytes))
+        std::visit([&](const auto &it) { handle(node, boot, it); }, *message);
+}
+
+void UsageService::handle(const NodeId &node, std::uint64_t, const UsageQuestion &question)
+{
+    if (question.window != m_times.window)
+        return;
+    const TimePoint now = m_parts.loop.now();
+    m_clock.onHolderTime(question.time, now);
+    UsageAnswer answer;
+    answer.sequence = question.sequence;
+    answer.openWindow = m_clock.windowAt(now);
+    answer.clock = m_parts.loop.wallNow();
+    answer.counts = m_counter.countsFrom(question.firstWindow);
+    for (const auto &it : encodeUsageAnswer(answer))
+        m_parts.peers.sendUsage(node, it);
+}
+
+void UsageService::handle(const NodeId &node, std::uint64_t boot, const UsageAnswer &answer)
+{
+    const TimePoint now = m_parts.loop.now();
+    m_collector.onCounts(node, boot, answer.counts);
+    const auto it = m_asked.find(node);
+    if (it == m_asked.end() || it->second.sequence != answer.sequence)
+        return;
+    if (now - it->second.at <= kMaxClockDelay)
+        m_clock.onNodeClock(node, answer.clock, now);
+    it->second.answeredParts.insert(answer.part);
+    if (it->second.answeredParts.size() == answer.parts)
+        m_collector.onFinal(node, answer.openWindow);
+}
+
+void UsageService::perform(const ReadJournal &action)
+{
+    m_parts.store.get(journalKey(), [this, alive = std::weak_ptr(m_alive), era = m_era,
+                                     operation = action.operation](const StoreResult &result) {
+        if (!alive.expired() && isOfEra(result, era))
+            m_reporter.onRead(operation, result, m_parts.loop.now());
+    });
+}
+
+void UsageService::perform(const WriteJournal &action)
+{
+    m_parts.store.put(journalKey(), action.value, action.expectedVersion,
+                      [this, alive = std::weak_ptr(m_alive), era = m_era,
+                       operation = action.operation](const StoreResult &result) {
+                          if (!alive.expired() && isOfEra(result, era))
+                              m_reporter.onWritten(operation, result, m_parts.loop.now());
+                      });
+}
+
+void UsageService::perform(const SendUsage &action)
+{
+    m_parts.provider.reportUsage(action.report, action.generation,
+                                 [this, alive = std::weak_ptr(m_alive), report = action.report,
+                                  generation = action.generation](ProviderResult result) {
+                                     if (!alive.expired())
+                                         onReported(report, generation, result);
+                                 });
+}
+
+void UsageService::perform(const UsageGivenUp &action)
+{
+    logEvent(LogLevel::Error, "usage_given_up", {{"window", action.window}});
+    m_parts.metrics.count(metric::kUsageReports, {{"result", "given_up"}});
+}
+
+bool UsageService::isOfEra(const StoreResult &result, std::uint64_t era)
+{
+    if (result.era && *result.era != era) {
+        enterEra(*result.era);
+        return false;
+    }
+    return era == m_era;
+}
+
+void UsageService::onReported(const UsageReport &report, std::uint64_t generation,
+                              ProviderResult result)
+{
+    const TimePoint now = m_parts.loop.now();
+    m_reporter.onReported(report.window, result, now);
+    m_parts.metrics.count(metric::kUsageReports,
+                          {{"result", nameOf(kProviderResultNames, result)}});
+    const auto frozen = m_frozen.find(report.window);
+    // A report that this node has found in the journal.
+    const bool isRepeated = frozen == m_frozen.end();
+    logEvent(result == ProviderResult::Accepted ? LogLevel::Info : LogLevel::Warning,
+             "usage_reported",
+             {{"window", report.window},
+              {"result", nameOf(kProviderResultNames, result)},
+              {"requests", totalOf(report.counts)},
+              {"parts", isRepeated ? 0 : frozen->second.parts},
+              {"missing", isRepeated ? 0 : frozen->second.missing},
+              {"repeated", isRepeated},
+              {"generation", generation},
+              {"age_ms", toMillis(now - m_clock.endOf(report.window))}});
+    if (result == ProviderResult::Conflict)
+        m_parts.duties.onSuperseded(generation, now);
+}
+
+std::string UsageService::journalKey() const
+{
+    return fmt::format("router-usage/journal-{}", m_era);
+}
+
+} // namespace hawthornslip
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -273,6 +273,7 @@
     if (!hadOutput && m_relay.hasFirstOutput()) {
         m_begunAt = m_gateway.parts().loop.now();
         m_service->balancer.onFirstEvent(m_placement, m_begunAt - m_sentAt);
+        countUsage();
     }
     // An upstream that crashes on a prompt does so as it begins to answer it.
     if (m_relay.attemptEvents() > 1)
@@ -351,6 +352,7 @@
 {
     if (!m_relay.hasFirstOutput())
         m_service->balancer.onFirstEvent(m_placement, m_gateway.parts().loop.now() - m_sentAt);
+    countUsage();
     const bool failed = m_relay.evidence().isFailure();
     closeAttempt(failed ? AttemptOutcome::Failed : AttemptOutcome::Succeeded);
     // After a stream has begun, a plain answer means that this upstream could not continue it.
@@ -429,6 +431,13 @@
         m_gateway.promptGuard().onAnswerGoesOn(m_traits, m_begunAt);
 }
 
+void Exchange::countUsage()
+{
+    UsageSink *const usage = m_gateway.usageSink();
+    if (usage != nullptr && m_workspace != nullptr && !std::exchange(m_isCounted, true))
+        usage->onRequestBegun(m_workspace->name);
+}
+
 void Exchange::reportLostAttempt()
 {
     m_gateway.promptGuard().onAttemptLost({m_meta.requestId, m_placement.upstream, m_traits,
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -65,6 +65,8 @@
     void onBrokenAnswer(const UpstreamEnd &end);
     void endTooLongAnswer();
     void noteGoesOn();
+    /** Counts the request for its workspace, once. */
+    void countUsage();
     void reportLostAttempt();
     void closeAttempt(AttemptOutcome outcome);
     void cancelAttempt();
@@ -116,6 +118,7 @@
     /** Time of the first output of the current attempt. */
     TimePoint m_begunAt{};
     bool m_hasGoneOn = false;
+    bool m_isCounted = false;
 };
 
 } // namespace hawthornslip
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "core/interfaces/metrics.h"
 #include "core/interfaces/stream_server.h"
 #include "core/interfaces/upstream_client.h"
+#include "core/interfaces/usage_sink.h"
 #include "core/interfaces/wire_dialect.h"
 #include "modules/limits/token_bucket.h"
 #include "modules/peers/peer_loads.h"
@@ -75,6 +76,9 @@
     /** Sets the callback for changes of this node's load at an upstream. */
     void onLoadChanged(std::function<void()> task) { m_loadChanged = std::move(task); }
 
+    /** Sets who counts the requests that upstreams run. @param usage null for none. */
+    void setUsageSink(UsageSink *usage) { m_usage = usage; }
+
     // Used by Exchange.
     GatewayParts &parts() { return m_parts; }
     /** @return the context of @p service, updated with its current upstreams. */
@@ -97,6 +101,7 @@
     void endRequests();
     void onExchangeDone(const Exchange &exchange) { m_open.erase(&exchange); }
     bool isRefusing() const { return m_refusing; }
+    UsageSink *usageSink() const { return m_usage; }
     std::mt19937_64 &random() { return m_random; }
     /** @return false when log lines of @p level about single requests exceed their rate. */
     bool mayLogRequest(LogLevel level);
@@ -116,6 +121,7 @@
     bool m_stopping = false;
     bool m_refusing = false;
     std::function<void()> m_loadChanged;
+    UsageSink *m_usage = nullptr;
     /** Exchanges without a final answer. */
     std::unordered_map<const Exchange *, std::weak_ptr<Exchange>> m_open;
     TokenBucket m_infoLines;
--- a/servers/peers/load_exchange.cpp
+++ b/servers/peers/load_exchange.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view kLoadKind = "load";
 constexpr std::string_view kSummaryKind = "summary";
 constexpr std::string_view kForwardedKind = "forwarded_summary";
+constexpr std::string_view kUsageKind = "usage";
 
 } // namespace
 
@@ -147,6 +148,16 @@
                           sent * static_cast<double>(bytes.size()));
 }
 
+void LoadExchange::sendUsage(const NodeId &to, const std::string &bytes)
+{
+    PeerReport report;
+    report.node = m_address;
+    report.domain = m_domain.value;
+    report.boot = m_boot;
+    report.usage = bytes;
+    send(report, {to.value}, kUsageKind);
+}
+
 void LoadExchange::receive(const std::string &bytes)
 {
     m_receivedBytes += bytes.size();
@@ -157,6 +168,11 @@
     if (!report || report->node == m_address)
         return;
     m_peers.onHeard(report->node, m_parts.loop.now());
+    if (!report->usage.empty()) {
+        if (m_usage != nullptr)
+            m_usage->onPeerUsage(NodeId(report->node), report->boot, report->usage);
+        return;
+    }
     const bool isOwnDomain = !report->isSummary && report->domain == m_domain.value;
     const NewsOrigin origin = isOwnDomain ? NewsOrigin::OwnDomain : NewsOrigin::OtherDomain;
     m_parts.evidence.onPeerEvidence(report->evidence, origin);
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -13,6 +13,7 @@
 #include "modules/peers/sum_tree.h"
 #include "servers/peers/peer_evidence.h"
 #include "servers/peers/peer_limits.h"
+#include "servers/peers/peer_usage.h"
 #include "servers/state/feed_follower.h"
 
 #include <cstddef>
@@ -49,7 +50,7 @@
  * Exchanges load reports with the other nodes and keeps the list of nodes in the store up to date.
  * Reports are hints: a node that receives none works from its own load and evidence alone.
  */
-class LoadExchange : public FollowerSink<NodeEntry>
+class LoadExchange : public FollowerSink<NodeEntry>, public UsageTransport
 {
 public:
     /** Adds the loads and demands of this node to a report. */
@@ -71,8 +72,14 @@
     void onChange(const FeedItem<NodeEntry> &item) override;
     void onConfirmed(TimePoint, StatePosition) override {}
 
+    void setUsage(PeerUsage *usage) override { m_usage = usage; }
+    void sendUsage(const NodeId &to, const std::string &bytes) override;
+
     /** @return the addresses of all other nodes that this node hears. */
-    std::vector<std::string> livePeers() const { return m_peers.reachable(m_parts.loop.now()); }
+    std::vector<std::string> livePeers() const override
+    {
+        return m_peers.reachable(m_parts.loop.now());
+    }
     /** @return the addresses of the nodes in @p domain that this node hears. */
     std::vector<std::string> livePeers(const FailureDomain &domain) const;
 
@@ -99,6 +106,7 @@
     void tick();
 
     LoadExchangeParts m_parts;
+    PeerUsage *m_usage = nullptr;
     std::string m_address;
     FailureDomain m_domain;
     Collect m_collect;
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -83,6 +83,7 @@
     message.set_summary(report.isSummary);
     message.set_forwarded(report.isForwarded);
     message.set_copy(static_cast<std::uint32_t>(report.copy));
+    message.set_usage(report.usage);
     for (const auto &it : report.heardNodes)
         message.add_heard_nodes(it);
     for (const auto &it : report.loads) {
@@ -129,6 +130,7 @@
     report.isSummary = message.summary();
     report.isForwarded = message.forwarded();
     report.copy = message.copy();
+    report.usage = message.usage();
     report.heardNodes.assign(message.heard_nodes().begin(), message.heard_nodes().end());
     for (const auto &it : message.loads()) {
         NodeLoad load{it.upstream(), it.running(), it.sensitive(), {}};
