Order upstreams by the demand of all nodes

Cause: no node ordered upstreams, so a deployment kept the number it started with at the full price, and a burst found no more engines.

Off unless [duties] names the duty and the service has `scaling`.

--- a/core/metric_names.h
+++ b/core/metric_names.h
@@ -27,6 +27,9 @@
 inline constexpr std::string_view kClaims = "hawthornslip_claims_total";
 inline constexpr std::string_view kLeases = "hawthornslip_leases_total";
 inline constexpr std::string_view kOrders = "hawthornslip_upstream_orders_total";
+inline constexpr std::string_view kCapacityOrders = "hawthornslip_capacity_orders_total";
+inline constexpr std::string_view kUpstreamsDesired = "hawthornslip_upstreams_desired";
+inline constexpr std::string_view kUpstreamsReady = "hawthornslip_upstreams_ready";
 
 /** The kind of a metric. */
 enum class Kind { Counter, Gauge, Histogram };
@@ -39,7 +42,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<Info, 21> kAll = {{
+inline constexpr std::array<Info, 24> kAll = {{
         {kRequests, Kind::Counter, "Requests by profile, tier and result."},
         {kRefusals, Kind::Counter, "Refused or failed requests by reason and execution."},
         {kRetries, Kind::Counter, "Repeated attempts by profile and reason."},
@@ -62,6 +65,11 @@
         {kClaims, Kind::Counter, "Claims of idempotency keys by verdict."},
         {kLeases, Kind::Counter, "Lease operations by lease and result."},
         {kOrders, Kind::Counter, "Orders to upstreams by kind and result."},
+        {kCapacityOrders, Kind::Counter, "Orders of upstreams from the provider by result."},
+        {kUpstreamsDesired, Kind::Gauge,
+         "Upstreams that the holder of the duty wants, by service, domain and sort."},
+        {kUpstreamsReady, Kind::Gauge,
+         "Upstreams that take requests, by service, domain and sort, at the holder."},
 }};
 
 } // namespace hawthornslip::metric
--- a/main/duty_host.cpp
+++ b/main/duty_host.cpp
@@ -19,11 +19,18 @@
                        peers.emplace_back(it);
                    return isDutyContender(self, std::move(peers));
                })
-{}
+{
+    if (settings.duties.performs(Duty::Scaling))
+        m_scaling = std::make_unique<ScalingService>(
+                ScalingServiceParts{parts.loop, m_provider, m_duties, parts.scaling, parts.metrics},
+                settings.duties.callsPerSecond);
+}
 
 void DutyHost::start()
 {
     m_duties.start();
+    if (m_scaling)
+        m_scaling->start();
 }
 
 void DutyHost::beginStop()
--- a/main/duty_host.h
+++ b/main/duty_host.h
@@ -7,9 +7,11 @@
 #include "platform/object_store_client.h"
 #include "platform/provider_client.h"
 #include "servers/duties/duty_service.h"
+#include "servers/duties/scaling_service.h"
 #include "servers/peers/load_exchange.h"
 
 #include <cstdint>
+#include <memory>
 
 namespace hawthornslip {
 
@@ -20,6 +22,7 @@
     UpstreamClient &client;
     Metrics &metrics;
     const LoadExchange &exchange;
+    ScalingSource &scaling;
 };
 
 /** Owns the parts that perform the duties of a deployment whose settings name some. */
@@ -40,6 +43,8 @@
     platform::ObjectStoreClient m_store;
     platform::ProviderClient m_provider;
     DutyService m_duties;
+    /** Set when the settings name the duty. */
+    std::unique_ptr<ScalingService> m_scaling;
 };
 
 } // namespace hawthornslip
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -271,9 +271,9 @@
 {
     if (!m_settings.duties.performs(Duty::Usage) && !m_settings.duties.performs(Duty::Scaling))
         return;
-    m_duties =
-            std::make_unique<DutyHost>(DutyHostParts{m_loop, m_storeClient, m_metrics, m_exchange},
-                                       m_settings, NodeId(peerAddress(m_settings)), randomSeed());
+    m_duties = std::make_unique<DutyHost>(
+            DutyHostParts{m_loop, m_storeClient, m_metrics, m_exchange, m_gateway}, m_settings,
+            NodeId(peerAddress(m_settings)), randomSeed());
     m_duties->start();
 }
 
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -80,6 +80,7 @@
         ++state.sensitive;
     state.wasUsed = true;
     state.sentTokens[placement.urgency] += static_cast<std::uint64_t>(placement.prefillTokens);
+    m_totalSentTokens += static_cast<std::uint64_t>(placement.prefillTokens);
     state.prefill.add(placement.urgency, placement.prefillTokens, now);
     if (state.permits)
         state.permits->onSent(m_share.value(now), now);
@@ -155,11 +156,30 @@
     auto &state = m_states.at(it->second);
     state.peers = peers;
     for (std::size_t urgency = 0; urgency < kUrgencyLevels; ++urgency) {
+        m_totalSentTokens += change.promptTokens[urgency];
         if (change.promptTokens[urgency] > 0)
             state.prefill.add(urgency, static_cast<double>(change.promptTokens[urgency]), now);
     }
 }
 
+NodeDemand ServiceBalancer::totalDemand() const
+{
+    return {m_demand.tolerantTokens + m_peerDemand.tolerantTokens,
+            m_demand.sensitiveTokens + m_peerDemand.sensitiveTokens,
+            m_demand.requests + m_peerDemand.requests,
+            m_demand.tolerantRequests + m_peerDemand.tolerantRequests};
+}
+
+std::uint32_t ServiceBalancer::totalRunning() const
+{
+    std::int64_t sum = 0;
+    for (const auto &it : m_order) {
+        const State &state = m_states.at(it);
+        sum += std::max<std::int64_t>(0, state.running + state.peers.running);
+    }
+    return static_cast<std::uint32_t>(sum);
+}
+
 void ServiceBalancer::setRequestLimit(std::uint64_t upstreamHash,
                                       std::optional<double> requestsPerSecond, TimePoint now)
 {
@@ -182,6 +202,10 @@
 void ServiceBalancer::onPeerDemand(const NodeDemand &added, TimePoint now)
 {
     m_share.onPeers(added.requests, now);
+    m_peerDemand.requests += added.requests;
+    m_peerDemand.tolerantRequests += added.tolerantRequests;
+    m_peerDemand.tolerantTokens += added.tolerantTokens;
+    m_peerDemand.sensitiveTokens += added.sensitiveTokens;
     const auto tolerantRequests = static_cast<double>(added.tolerantRequests);
     m_partition.observe(PauseTolerance::Tolerant, static_cast<double>(added.tolerantTokens),
                         tolerantRequests, now);
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -63,6 +63,13 @@
     /** @return the sums of the requests recorded by onRequest(). */
     NodeDemand nodeDemand() const { return m_demand; }
 
+    /** @return the sums of the requests of this node and of its peers. */
+    NodeDemand totalDemand() const;
+    /** @return prompt tokens that this node and its peers sent to upstreams for prefill. */
+    std::uint64_t totalSentTokens() const { return m_totalSentTokens; }
+    /** @return requests of this node and of its peers that run at usable upstreams. */
+    std::uint32_t totalRunning() const;
+
     /**
      * Applies a change of a peer's load at an upstream. Of an upstream that is not known yet, only
      * the running requests are recorded.
@@ -73,6 +80,8 @@
 
     /** @return prompt tokens per second that an engine prefills for a single request. */
     double peakPrefillRate() const { return m_rate.peakTokensPerSecond(); }
+    /** @return prompt tokens per second that an engine prefills among other requests. */
+    double prefillRate() const { return m_rate.tokensPerSecond(); }
 
     /** @return the number of upstreams that may get requests. */
     std::size_t size() const { return m_order.size(); }
@@ -169,6 +178,8 @@
     RequestShare m_share;
     PrefillRateEstimator m_rate;
     NodeDemand m_demand;
+    NodeDemand m_peerDemand;
+    std::uint64_t m_totalSentTokens = 0;
     /**
      * Usable upstreams in an order that all nodes have: by hash, those that limit their requests
      * first.
--- a/modules/routing/routing_config.h
+++ b/modules/routing/routing_config.h
@@ -2,10 +2,12 @@
 
 #include "core/caller_limits.h"
 #include "core/enum_names.h"
+#include "core/ids.h"
 #include "core/time.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -71,6 +73,23 @@
     std::uint32_t tokensPerEvent = 1;
 };
 
+/** Terms on which the provider adds and removes upstreams of a service. */
+struct ScalingPolicy
+{
+    /** Bounds of the upstreams in each failure domain, ordinary and reclaimable ones together. */
+    std::uint32_t minUpstreams = 0;
+    std::uint32_t maxUpstreams = 0;
+    /** Time until an ordered upstream takes requests. */
+    Duration startTime = seconds(5);
+    /** Price of a reclaimable upstream as a fraction of an ordinary one's; none are on offer
+     * without it. */
+    std::optional<double> reclaimablePrice;
+    /** Price of an upstream by failure domain; domains that are missing cost 1. */
+    std::map<FailureDomain, double> domainPrices;
+
+    bool operator==(const ScalingPolicy &) const = default;
+};
+
 /** A set of interchangeable upstreams. */
 struct Service
 {
@@ -79,6 +98,8 @@
     std::uint32_t maxConnections = 0;
     /** Set for language engines. */
     std::optional<EngineLimits> engine;
+    /** Set when upstreams of the service can be ordered. */
+    std::optional<ScalingPolicy> scaling;
 };
 
 /** A workspace with the keys of its callers. */
--- /dev/null
+++ b/modules/scaling/scaling_planner.cpp
@@ -0,0 +1,136 @@
+#include "modules/scaling/scaling_planner.h"
+
+#include "modules/scaling/capacity_split.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace hawthornslip {
+
+namespace {
+
+// A rise is rounded up by this fraction, so that a slow one needs few orders.
+constexpr double kRiseMargin = 0.05;
+
+bool offersReclaimable(const ScalingPolicy &policy)
+{
+    return policy.reclaimablePrice && *policy.reclaimablePrice < 1;
+}
+
+std::uint32_t ceiled(double upstreams)
+{
+    return static_cast<std::uint32_t>(std::ceil(std::max(0.0, upstreams)));
+}
+
+} // namespace
+
+ScalingPlanner::ScalingPlanner(ScalingSettings settings)
+    : m_settings(settings)
+{}
+
+const UpstreamCounts &ScalingPlanner::plan(const ScalingView &view, TimePoint now)
+{
+    for (const auto &[subject, n] : view.ready)
+        m_desired.try_emplace(subject, n);
+    updateTotal(view, now);
+    const auto wanted = targets(view);
+    raise(wanted, view);
+    lower(wanted, view);
+    return m_desired;
+}
+
+double ScalingPlanner::reserve(const ScalingView &view) const
+{
+    const auto all = domains(view);
+    const bool isOffered =
+            offersReclaimable(view.policy) && std::ranges::any_of(all, [&view](const auto &it) {
+                return !view.withoutReclaimable.contains(it);
+            });
+    return isOffered ? m_settings.jumpReserve : m_settings.waveReserve;
+}
+
+void ScalingPlanner::updateTotal(const ScalingView &view, TimePoint now)
+{
+    if (m_total == 0) {
+        m_initial = totalOf(view.ready);
+        m_total = m_initial;
+        m_steppedAt = now;
+    }
+    const double needed = std::max(view.demand.expected, view.demand.peak) / m_settings.targetUse;
+    auto goal = ceiled(needed * (1 + reserve(view)));
+    if (view.demand.observedFor < m_settings.keepFor)
+        goal = std::max(goal, m_initial);
+    if (goal > m_total) {
+        m_total = ceiled(goal * (1 + kRiseMargin));
+        m_steppedAt = now;
+        return;
+    }
+    const auto step = std::max(1U, static_cast<std::uint32_t>(m_total * m_settings.stepDown));
+    if (now - m_steppedAt < m_settings.stepInterval || goal + step > m_total)
+        return;
+    m_total -= step;
+    m_steppedAt = now;
+}
+
+std::set<FailureDomain> ScalingPlanner::domains(const ScalingView &view) const
+{
+    std::set<FailureDomain> all;
+    for (const auto &[subject, n] : m_desired)
+        all.insert(subject.domain);
+    for (const auto &[domain, price] : view.policy.domainPrices)
+        all.insert(domain);
+    return all;
+}
+
+UpstreamCounts ScalingPlanner::targets(const ScalingView &view) const
+{
+    CapacityGoal goal;
+    goal.total = m_total;
+    goal.afterLoss = ceiled(m_total / (1 + reserve(view)));
+    goal.ordinary = ceiled(goal.afterLoss * m_settings.ordinaryShare);
+    std::vector<DomainOffer> offers;
+    for (const auto &it : domains(view)) {
+        const OrderSubject subject{it, UpstreamSort::Reclaimable};
+        const auto kept = std::min(countOf(view.ready, subject), countOf(m_desired, subject));
+        offers.push_back({it, !view.withoutReclaimable.contains(it), kept});
+    }
+    return splitCapacity(goal, view.policy, offers);
+}
+
+void ScalingPlanner::raise(const UpstreamCounts &targets, const ScalingView &view)
+{
+    for (const auto &[subject, target] : targets) {
+        auto &desired = m_desired[subject];
+        const bool isReclaimable = subject.sort == UpstreamSort::Reclaimable;
+        const auto other = isReclaimable ? UpstreamSort::Ordinary : UpstreamSort::Reclaimable;
+        // The bounds count upstreams of the other sort that are still to be given up.
+        const auto taken = countOf(m_desired, {subject.domain, other});
+        const auto room = view.policy.maxUpstreams - std::min(view.policy.maxUpstreams, taken);
+        if (target > desired)
+            desired = std::max(desired, std::min(target, room));
+    }
+}
+
+void ScalingPlanner::lower(const UpstreamCounts &targets, const ScalingView &view)
+{
+    std::uint32_t ready = 0;
+    for (const auto &[subject, n] : view.ready)
+        ready += std::min(n, countOf(m_desired, subject));
+    std::uint32_t surplus = ready - std::min(ready, m_total);
+    for (const auto sort : {UpstreamSort::Ordinary, UpstreamSort::Reclaimable}) {
+        for (auto &[subject, desired] : m_desired) {
+            const auto target = countOf(targets, subject);
+            if (subject.sort != sort || target >= desired)
+                continue;
+            // Upstreams that are gone already are not given up a second time.
+            if (countOf(view.ready, subject) < desired)
+                continue;
+            const auto n = std::min(desired - target, surplus);
+            desired -= n;
+            surplus -= n;
+        }
+    }
+}
+
+} // namespace hawthornslip
--- /dev/null
+++ b/modules/scaling/scaling_planner.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "modules/routing/routing_config.h"
+#include "modules/scaling/demand_meter.h"
+#include "modules/scaling/scaling_types.h"
+
+#include <set>
+
+namespace hawthornslip {
+
+/** What the plan for one service is made from. */
+struct ScalingView
+{
+    const ScalingPolicy &policy;
+    /** Upstreams that take requests. */
+    const UpstreamCounts &ready;
+    /** Failure domains that had no reclaimable upstreams to offer recently. */
+    const std::set<FailureDomain> &withoutReclaimable;
+    const DemandEstimate &demand;
+};
+
+/**
+ * Decides how many upstreams of one service each failure domain should have.
+ *
+ * Handles the wave of a day, jumps of the demand, and the loss of all reclaimable upstreams of a
+ * domain. The plan follows from the upstreams that are present and from the demand, so that a new
+ * holder of the duty goes on where the last one was. Capacity rises at once and falls in steps, and
+ * no upstream is given up before its replacement takes requests.
+ */
+class ScalingPlanner
+{
+public:
+    explicit ScalingPlanner(ScalingSettings settings);
+
+    /** @return the desired numbers; unchanged ones need no order. */
+    const UpstreamCounts &plan(const ScalingView &view, TimePoint now);
+
+    /** @return the number of upstreams that the demand asks for. */
+    std::uint32_t total() const { return m_total; }
+
+private:
+    void updateTotal(const ScalingView &view, TimePoint now);
+    UpstreamCounts targets(const ScalingView &view) const;
+    void raise(const UpstreamCounts &targets, const ScalingView &view);
+    void lower(const UpstreamCounts &targets, const ScalingView &view);
+    double reserve(const ScalingView &view) const;
+    std::set<FailureDomain> domains(const ScalingView &view) const;
+
+    ScalingSettings m_settings;
+    /** Capacity when this node began to plan; kept until a whole wave was seen. */
+    std::uint32_t m_initial = 0;
+    std::uint32_t m_total = 0;
+    TimePoint m_steppedAt{};
+    UpstreamCounts m_desired;
+};
+
+} // namespace hawthornslip
--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -230,4 +230,17 @@
     return present.empty() ? fallback : present;
 }
 
+std::vector<UpstreamEntry> UpstreamDirectory::listed(std::string_view service) const
+{
+    std::vector<UpstreamEntry> entries;
+    for (const auto &[id, record] : m_entries) {
+        if (record.entry.service != service || record.leftUntil ||
+            (record.removed && !record.mayReregister))
+            continue;
+        entries.push_back(record.entry);
+        entries.back().draining = record.entry.draining || record.leavesAt.has_value();
+    }
+    return entries;
+}
+
 } // namespace hawthornslip
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -28,6 +28,10 @@
     bool draining = false;
     /** When its process started, in milliseconds since the epoch; zero when it does not say. */
     std::uint64_t bornMs = 0;
+    /** The provider may take it away with short notice. */
+    bool reclaimable = false;
+    /** Time from the write of the entry until it ends; nothing when it does not say. */
+    std::optional<Duration> leavesIn{};
 
     bool operator==(const UpstreamEntry &) const = default;
 };
@@ -115,6 +119,12 @@
      */
     std::vector<UpstreamEntry> usable(std::string_view service, TimePoint now) const;
 
+    /**
+     * @return the listed upstreams of @p service, also those without new requests; one that has
+     *         said that it leaves is draining.
+     */
+    std::vector<UpstreamEntry> listed(std::string_view service) const;
+
     /** @return a number that changes whenever the directory changes. */
     std::uint64_t revision() const { return m_revision; }
 
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -139,6 +139,32 @@
     }
 }
 
+std::vector<ScaledService> Gateway::scaledServices()
+{
+    std::vector<ScaledService> services;
+    if (!m_state.isComplete())
+        return services;
+    for (const auto &it : m_state.config().table()->config().services) {
+        if (!it.scaling)
+            continue;
+        // Creates the balancer, which sums the demand of the peers from then on.
+        const ServiceContext &context = serviceContext(it.name);
+        const ServiceBalancer &balancer = context.balancer;
+        ScaledService service{it.name, *it.scaling, {}, {}, m_state.upstreams().listed(it.name)};
+        const NodeDemand demand = balancer.totalDemand();
+        service.demand = {demand.requests, demand.tolerantTokens + demand.sensitiveTokens,
+                          balancer.totalSentTokens(), balancer.totalRunning(),
+                          static_cast<std::uint32_t>(context.holdQueue.size())};
+        service.rate.prefillTokens = it.engine ? balancer.prefillRate() : 0;
+        if (it.engine && it.engine->slots > 0)
+            service.rate.slots = it.engine->slots;
+        else if (!service.upstreams.empty())
+            service.rate.slots = service.upstreams.front().slots;
+        services.push_back(std::move(service));
+    }
+    return services;
+}
+
 void Gateway::setRequestLimit(std::uint64_t upstream, std::optional<double> requestsPerSecond)
 {
     for (auto &[name, context] : m_services)
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "modules/retry/answer_evidence.h"
 #include "modules/routing/route_table.h"
 #include "servers/gateway/prompt_guard.h"
+#include "servers/gateway/scaling_source.h"
 #include "servers/gateway/service_context.h"
 #include "servers/gateway/upstream_limits.h"
 #include "servers/state/router_state.h"
@@ -40,7 +41,7 @@
  * Routes callers' requests to upstreams. Each node decides independently, based on its own requests
  * and on the load reports of its peers.
  */
-class Gateway : public RequestSink, public PeerLoadSink
+class Gateway : public RequestSink, public PeerLoadSink, public ScalingSource
 {
 public:
     Gateway(GatewayParts parts, const GatewaySettings &settings, std::uint64_t seed);
@@ -70,6 +71,7 @@
 
     void onPeerLoad(const LoadChange &change) override;
     void onPeerDemand(std::uint64_t service, const NodeDemand &added) override;
+    std::vector<ScaledService> scaledServices() override;
     /** Adds this node's loads and demands to a report. */
     void collectLoads(PeerReport &report) const;
     /** Sets the callback for changes of this node's load at an upstream. */
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -61,10 +61,12 @@
 {
     CPPUNIT_TEST_SUITE(DecodersTest);
     CPPUNIT_TEST(decodesConfig);
+    CPPUNIT_TEST(decodesScaling);
     CPPUNIT_TEST(rejectsMalformedConfig);
     CPPUNIT_TEST(emptyListOfTenantsIsNotAMissingOne);
     CPPUNIT_TEST(rejectsListsOfAnotherType);
     CPPUNIT_TEST(decodesUpstream);
+    CPPUNIT_TEST(decodesReclaimableUpstream);
     CPPUNIT_TEST(rejectsMalformedUpstreamEntries);
     CPPUNIT_TEST(readsCallHeaders);
     CPPUNIT_TEST(ignoresMalformedHeaders);
@@ -78,6 +80,44 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against orders under other terms than the provider's, and against terms where there
+    // are none.
+    void decodesScaling()
+    {
+        Json body = Json::parse(kConfig);
+        CPPUNIT_ASSERT(!decodeConfig("main", body).value->services[0].scaling);
+        body["services"][0]["scaling"] = {{"min", 1},
+                                          {"max", 60},
+                                          {"boot_s", 4.5},
+                                          {"spot_price", 0.25},
+                                          {"zone_prices", {{"riga-a", 0.75}, {"riga-b", "?"}}}};
+        body["services"][1]["scaling"] = Json::object();
+        const auto config = decodeConfig("main", body);
+        CPPUNIT_ASSERT(config.value);
+        ScalingPolicy expected;
+        expected.minUpstreams = 1;
+        expected.maxUpstreams = 60;
+        expected.startTime = milliseconds(4500);
+        expected.reclaimablePrice = 0.25;
+        expected.domainPrices = {{FailureDomain("riga-a"), 0.75}};
+        CPPUNIT_ASSERT(config.value->services[0].scaling == expected);
+        CPPUNIT_ASSERT(config.value->services[1].scaling == ScalingPolicy());
+    }
+
+    // Guards against an upstream that is taken for an ordinary one, or for one that stays.
+    void decodesReclaimableUpstream()
+    {
+        Json body = Json::parse(kUpstream);
+        CPPUNIT_ASSERT(!decodeUpstream("u", body).value->reclaimable);
+        CPPUNIT_ASSERT(!decodeUpstream("u", body).value->leavesIn);
+        body["spot"] = true;
+        body["state"] = "draining";
+        body["leaves_ms"] = 1500;
+        const auto entry = decodeUpstream("u", body).value;
+        CPPUNIT_ASSERT(entry && entry->reclaimable && entry->draining);
+        CPPUNIT_ASSERT(entry->leavesIn == milliseconds(1500));
+    }
+
     void decodesConfig()
     {
         const auto decoded = decodeConfig("main", Json::parse(kConfig));
