Keep the lower bound of a domain while sorts are exchanged

Cause: a domain fell below its minimum when one sort was given up before the ordered upstreams of the other one served.

--- a/modules/scaling/scaling_planner.cpp
+++ b/modules/scaling/scaling_planner.cpp
@@ -18,6 +18,11 @@
     return policy.reclaimablePrice && *policy.reclaimablePrice < 1;
 }
 
+UpstreamSort otherSort(UpstreamSort sort)
+{
+    return sort == UpstreamSort::Ordinary ? UpstreamSort::Reclaimable : UpstreamSort::Ordinary;
+}
+
 std::uint32_t ceiled(double upstreams)
 {
     return static_cast<std::uint32_t>(std::ceil(std::max(0.0, upstreams)));
@@ -92,20 +97,22 @@
     std::vector<DomainOffer> offers;
     for (const auto &it : domains(view)) {
         const OrderSubject subject{it, UpstreamSort::Reclaimable};
-        const auto kept = std::min(countOf(view.ready, subject), countOf(m_desired, subject));
-        offers.push_back({it, !view.withoutReclaimable.contains(it), kept});
+        offers.push_back({it, !view.withoutReclaimable.contains(it), serving(view, subject)});
     }
     return splitCapacity(goal, view.policy, offers);
 }
 
+std::uint32_t ScalingPlanner::serving(const ScalingView &view, const OrderSubject &subject) const
+{
+    return std::min(countOf(view.ready, subject), countOf(m_desired, subject));
+}
+
 void ScalingPlanner::raise(const UpstreamCounts &targets, const ScalingView &view)
 {
     for (const auto &[subject, target] : targets) {
         auto &desired = m_desired[subject];
-        const bool isReclaimable = subject.sort == UpstreamSort::Reclaimable;
-        const auto other = isReclaimable ? UpstreamSort::Ordinary : UpstreamSort::Reclaimable;
         // The bounds count upstreams of the other sort that are still to be given up.
-        const auto taken = countOf(m_desired, {subject.domain, other});
+        const auto taken = countOf(m_desired, {subject.domain, otherSort(subject.sort)});
         const auto room = view.policy.maxUpstreams - std::min(view.policy.maxUpstreams, taken);
         if (target > desired)
             desired = std::max(desired, std::min(target, room));
@@ -116,7 +123,7 @@
 {
     std::uint32_t ready = 0;
     for (const auto &[subject, n] : view.ready)
-        ready += std::min(n, countOf(m_desired, subject));
+        ready += serving(view, subject);
     std::uint32_t surplus = ready - std::min(ready, m_total);
     for (const auto sort : {UpstreamSort::Ordinary, UpstreamSort::Reclaimable}) {
         for (auto &[subject, desired] : m_desired) {
@@ -126,7 +133,11 @@
             // Upstreams that are gone already are not given up a second time.
             if (countOf(view.ready, subject) < desired)
                 continue;
-            const auto n = std::min(desired - target, surplus);
+            // What the other sort lacks until its ordered upstreams serve is kept in this one.
+            const auto other = serving(view, {subject.domain, otherSort(sort)});
+            const auto least = view.policy.minUpstreams - std::min(view.policy.minUpstreams, other);
+            const auto floor = std::min(desired, std::max(target, least));
+            const auto n = std::min(desired - floor, surplus);
             desired -= n;
             surplus -= n;
         }
--- a/modules/scaling/scaling_planner.h
+++ b/modules/scaling/scaling_planner.h
@@ -43,6 +43,8 @@
     UpstreamCounts targets(const ScalingView &view) const;
     void raise(const UpstreamCounts &targets, const ScalingView &view);
     void lower(const UpstreamCounts &targets, const ScalingView &view);
+    /** @return the upstreams of @p subject that take requests and are not to be given up. */
+    std::uint32_t serving(const ScalingView &view, const OrderSubject &subject) const;
     double reserve(const ScalingView &view) const;
     std::set<FailureDomain> domains(const ScalingView &view) const;
 
