Measure the reserve from the demand that came, after the list has settled

Change: the peak is of the measured demand; a holder plans once the list has stopped to grow; reclaimed upstreams leave the order at once.

--- a/modules/scaling/demand_meter.cpp
+++ b/modules/scaling/demand_meter.cpp
@@ -39,7 +39,7 @@
         m_firstDemandAt = now;
     const double rise = std::max(0.0, slopePerSecond(current, now) * toSeconds(startTime));
     const double expected = current + std::min(rise, kMaxRise * current);
-    keepPeak(expected, now);
+    keepPeak(current, now);
     m_estimate = {current, expected, m_peaks.front().value,
                   m_firstDemandAt == TimePoint{} ? Duration(0) : now - m_firstDemandAt};
 }
--- a/modules/scaling/demand_meter.h
+++ b/modules/scaling/demand_meter.h
@@ -37,7 +37,7 @@
     double current = 0;
     /** When an upstream that is ordered now starts to serve. */
     double expected = 0;
-    /** Highest value of @c expected within the time that capacity is kept for. */
+    /** Highest value of @c current within the time that capacity is kept for. */
     double peak = 0;
     /** Time since the first demand; capacity is not lowered before it covers a whole wave. */
     Duration observedFor{0};
--- a/modules/scaling/order_book.cpp
+++ b/modules/scaling/order_book.cpp
@@ -43,6 +43,9 @@
         entry.differsSince = now;
     if (entry.inFlight || now < entry.nextAt)
         return false;
+    // A refusal does not concern numbers that need no more upstreams.
+    if (now < entry.refusedUntil && desired > ready)
+        return false;
     if (entry.isUncertain || (entry.confirmAt && now >= *entry.confirmAt))
         return true;
     if (entry.accepted ? *entry.accepted != desired : ready != desired)
@@ -91,14 +94,16 @@
 {
     entry.refusalDelay = std::min(std::max(2 * entry.refusalDelay, m_startTime), kLongestRefusal);
     entry.refusedUntil = now + entry.refusalDelay;
-    entry.nextAt = entry.refusedUntil;
 }
 
 void OrderBook::onReclaimed(const FailureDomain &domain, TimePoint now)
 {
     Entry &entry = m_entries[{domain, UpstreamSort::Reclaimable}];
-    if (now >= entry.refusedUntil)
-        refuse(entry, now);
+    if (now < entry.refusedUntil)
+        return;
+    refuse(entry, now);
+    // The provider may still count them, so the number that is left is ordered.
+    entry.isUncertain = true;
 }
 
 std::set<FailureDomain> OrderBook::withoutReclaimable(TimePoint now) const
--- a/modules/scaling/scaling_planner.cpp
+++ b/modules/scaling/scaling_planner.cpp
@@ -12,6 +12,8 @@
 
 // A rise is rounded up by this fraction, so that a slow one needs few orders.
 constexpr double kRiseMargin = 0.05;
+// Upstreams that start together are listed one after the other.
+constexpr Duration kSettleTime = seconds(2);
 
 bool offersReclaimable(const ScalingPolicy &policy)
 {
@@ -36,8 +38,11 @@
 
 const UpstreamCounts &ScalingPlanner::plan(const ScalingView &view, TimePoint now)
 {
-    for (const auto &[subject, n] : view.ready)
-        m_desired.try_emplace(subject, n);
+    if (!isSettled(view, now)) {
+        m_desired = view.ready;
+        return m_desired;
+    }
+    adoptCounts(view);
     updateTotal(view, now);
     const auto wanted = targets(view);
     raise(wanted, view);
@@ -45,6 +50,30 @@
     return m_desired;
 }
 
+bool ScalingPlanner::isSettled(const ScalingView &view, TimePoint now)
+{
+    if (m_total > 0)
+        return true;
+    const std::uint32_t n = totalOf(view.ready);
+    if (n > m_initial || m_initial == 0) {
+        m_initial = n;
+        m_grewAt = now;
+    }
+    return m_initial > 0 && now - m_grewAt >= kSettleTime;
+}
+
+void ScalingPlanner::adoptCounts(const ScalingView &view)
+{
+    for (const auto &[subject, n] : view.ready)
+        m_desired.try_emplace(subject, n);
+    // What was taken away is not on order any more.
+    for (auto &[subject, n] : m_desired) {
+        if (subject.sort == UpstreamSort::Reclaimable &&
+            view.withoutReclaimable.contains(subject.domain))
+            n = std::min(n, countOf(view.ready, subject));
+    }
+}
+
 double ScalingPlanner::reserve(const ScalingView &view) const
 {
     const auto all = domains(view);
@@ -58,12 +87,11 @@
 void ScalingPlanner::updateTotal(const ScalingView &view, TimePoint now)
 {
     if (m_total == 0) {
-        m_initial = totalOf(view.ready);
         m_total = m_initial;
         m_steppedAt = now;
     }
-    const double needed = std::max(view.demand.expected, view.demand.peak) / m_settings.targetUse;
-    auto goal = ceiled(needed * (1 + reserve(view)));
+    const double needed = std::max(view.demand.expected, view.demand.peak * (1 + reserve(view)));
+    auto goal = ceiled(needed / m_settings.targetUse);
     if (view.demand.observedFor < m_settings.keepFor)
         goal = std::max(goal, m_initial);
     if (goal > m_total) {
--- a/modules/scaling/scaling_planner.h
+++ b/modules/scaling/scaling_planner.h
@@ -39,6 +39,9 @@
     std::uint32_t total() const { return m_total; }
 
 private:
+    /** @return true once the list of upstreams has stopped to grow after the start. */
+    bool isSettled(const ScalingView &view, TimePoint now);
+    void adoptCounts(const ScalingView &view);
     void updateTotal(const ScalingView &view, TimePoint now);
     UpstreamCounts targets(const ScalingView &view) const;
     void raise(const UpstreamCounts &targets, const ScalingView &view);
@@ -51,6 +54,7 @@
     ScalingSettings m_settings;
     /** Capacity when this node began to plan; kept until a whole wave was seen. */
     std::uint32_t m_initial = 0;
+    TimePoint m_grewAt{};
     std::uint32_t m_total = 0;
     TimePoint m_steppedAt{};
     UpstreamCounts m_desired;
