--- a/core/metric_names.h
+++ b/core/metric_names.h
@@ -29,6 +29,9 @@
 inline constexpr std::string_view kOrders = "hawthornslip_upstream_orders_total";
 inline constexpr std::string_view kUsageReports = "hawthornslip_usage_reports_total";
 inline constexpr std::string_view kUsagePending = "hawthornslip_usage_reports_pending";
+inline constexpr std::string_view kCapacityOrders = "hawthornslip_capacity_orders_total";
+inline constexpr std::string_view kUpstreamsDesired = "hawthornslip_upstreams_desired";
+inline constexpr std::string_view kUpstreamsReady = "hawthornslip_upstreams_ready";
 
 /** The kind of a metric. */
 enum class Kind { Counter, Gauge, Histogram };
@@ -41,7 +44,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<Info, 23> kAll = {{
+inline constexpr std::array<Info, 26> kAll = {{
         {kRequests, Kind::Counter, "Requests by profile, tier and result."},
         {kRefusals, Kind::Counter, "Refused or failed requests by reason and execution."},
         {kRetries, Kind::Counter, "Repeated attempts by profile and reason."},
@@ -66,6 +69,11 @@
         {kOrders, Kind::Counter, "Orders to upstreams by kind and result."},
         {kUsageReports, Kind::Counter, "Reports of usage to the provider by result."},
         {kUsagePending, Kind::Gauge, "Reports of usage that the provider has not accepted yet."},
+        {kCapacityOrders, Kind::Counter, "Orders of upstreams from the provider by result."},
+        {kUpstreamsDesired, Kind::Gauge,
+         "Upstreams that the holder of the duty wants, by service, domain and sort."},
+        {kUpstreamsReady, Kind::Gauge,
+         "Upstreams that take requests, by service, domain and sort, at the holder."},
 }};
 
 } // namespace hawthornslip::metric
--- a/main/duty_host.cpp
+++ b/main/duty_host.cpp
@@ -28,6 +28,10 @@
                 UsageTimes{settings.duties.reportWindow, settings.duties.reportDue}, self);
         m_gateway.setUsageSink(m_usage.get());
     }
+    if (settings.duties.performs(Duty::Scaling))
+        m_scaling = std::make_unique<ScalingService>(
+                ScalingServiceParts{parts.loop, m_provider, m_duties, parts.gateway, parts.metrics},
+                settings.duties.callsPerSecond);
 }
 
 DutyHost::~DutyHost()
@@ -40,6 +44,8 @@
     m_duties.start();
     if (m_usage)
         m_usage->start();
+    if (m_scaling)
+        m_scaling->start();
 }
 
 void DutyHost::beginStop()
--- a/main/duty_host.h
+++ b/main/duty_host.h
@@ -7,6 +7,7 @@
 #include "platform/object_store_client.h"
 #include "platform/provider_client.h"
 #include "servers/duties/duty_service.h"
+#include "servers/duties/scaling_service.h"
 #include "servers/duties/usage_service.h"
 #include "servers/gateway/gateway.h"
 #include "servers/peers/load_exchange.h"
@@ -48,6 +49,7 @@
     DutyService m_duties;
     /** Set when the settings name the duty. */
     std::unique_ptr<UsageService> m_usage;
+    std::unique_ptr<ScalingService> m_scaling;
 };
 
 } // namespace hawthornslip
