Check the bounds of ordered upstreams in a routing configuration

A minimum above the maximum is found, and changes of the bounds are told; the test builds its services by name, as Service has one field more.

--- a/modules/routing/routing_check.cpp
+++ b/modules/routing/routing_check.cpp
@@ -54,6 +54,10 @@
             error(RoutingFlaw::Duplicate, path + ".name", "is the same as that of " + it->second);
         if (service.engine && service.engine->slots == 0)
             error(RoutingFlaw::Unusable, path + ".engine.slots", "no request can run");
+        if (service.scaling && service.scaling->minUpstreams > service.scaling->maxUpstreams)
+            error(RoutingFlaw::Contradiction, path + ".scaling",
+                  fmt::format("at least {} upstreams, at most {}", service.scaling->minUpstreams,
+                              service.scaling->maxUpstreams));
         if (service.engine && service.engine->slots > service.maxConnections &&
             service.maxConnections > 0)
             warn(RoutingFlaw::Contradiction, path + ".maxConnections",
--- a/modules/routing/routing_diff.cpp
+++ b/modules/routing/routing_diff.cpp
@@ -43,6 +43,11 @@
         fields["memory"] = fmt::format("{} tokens", service.engine->memoryTokens);
         fields["tokens an event"] = std::to_string(service.engine->tokensPerEvent);
     }
+    if (service.scaling) {
+        fields["least upstreams"] = std::to_string(service.scaling->minUpstreams);
+        fields["most upstreams"] = std::to_string(service.scaling->maxUpstreams);
+        fields["start time"] = millis(service.scaling->startTime);
+    }
     return fields;
 }
 
--- a/modules/routing/tests/routing_check_test.cpp
+++ b/modules/routing/tests/routing_check_test.cpp
@@ -12,6 +12,14 @@
 
 namespace {
 
+Service plainService(const std::string &name)
+{
+    Service service;
+    service.name = name;
+    service.maxConnections = 100;
+    return service;
+}
+
 RoutingConfig soundConfig()
 {
     RoutingConfig config;
@@ -19,7 +27,7 @@
     engines.name = "engines";
     engines.maxConnections = 100;
     engines.engine = EngineLimits{16, 400'000, 9};
-    config.services = {engines, {"desk", 100, std::nullopt}};
+    config.services = {engines, plainService("desk")};
     Route chat;
     chat.host = "a.example";
     chat.pathPrefix = "/chat/";
@@ -73,11 +81,15 @@
         {"services[1].name", RoutingFlaw::Duplicate,
          [](RoutingConfig &it) { it.services[1].name = "engines"; }},
         {"services[2]", RoutingFlaw::Unused,
-         [](RoutingConfig &it) {
-             it.services.push_back({"spare", 1, std::nullopt});
-         }},
+         [](RoutingConfig &it) { it.services.push_back(plainService("spare")); }},
         {"services[0].engine.slots", RoutingFlaw::Unusable,
          [](RoutingConfig &it) { it.services[0].engine->slots = 0; }},
+        {"services[0].scaling", RoutingFlaw::Contradiction,
+         [](RoutingConfig &it) {
+             it.services[0].scaling.emplace();
+             it.services[0].scaling->minUpstreams = 3;
+             it.services[0].scaling->maxUpstreams = 2;
+         }},
         {"workspaces[1].apiKeys[0]", RoutingFlaw::Duplicate,
          [](RoutingConfig &it) { (*it.workspaces)[1].apiKeys = {"key-1"}; }},
         {"workspaces[1].name", RoutingFlaw::Duplicate,
@@ -140,7 +152,7 @@
         auto config = soundConfig();
         config.routes[0].objective = milliseconds(250);
         config.routes.pop_back();
-        config.services.push_back({"spare", 1, std::nullopt});
+        config.services.push_back(plainService("spare"));
         const std::vector<std::string> expected = {
                 "route a.example/chat/: objective 1000 ms -> 250 ms",
                 "route a.example/order/: removed", "service spare: added"};
