--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -59,6 +59,15 @@
     std::deque<std::shared_ptr<Call>> calls;
 };
 
+/** Counts the requests that upstreams run, by workspace. */
+class CountingUsage : public UsageSink
+{
+public:
+    void onRequestBegun(const std::string &workspace) override { ++counts[workspace]; }
+
+    std::map<std::string, int> counts;
+};
+
 Route makeRoute(const std::string &prefix, RouteKind kind, bool resumable)
 {
     Route route;
@@ -140,6 +149,8 @@
     CPPUNIT_TEST(disconnectCancelsStream);
     CPPUNIT_TEST(disconnectKeepsNonIdempotentRunning);
     CPPUNIT_TEST(retryBudgetLimitsRetries);
+    CPPUNIT_TEST(requestsThatRunAreCountedOnce);
+    CPPUNIT_TEST(requestsThatDidNotRunAreNotCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -675,6 +686,44 @@
         CPPUNIT_ASSERT(retries >= 20);
     }
 
+    // Guards against requests that are billed late, twice after a retry, or not at all.
+    void requestsThatRunAreCountedOnce()
+    {
+        CountingUsage usage;
+        m_fleet->gateway(0).setUsageSink(&usage);
+        call("/order/1");
+        m_client.calls.back()->answer(200, {{"proof", "1"}}, "ok");
+        CPPUNIT_ASSERT_EQUAL(1, usage.counts["laundry"]);
+        // A stream runs from its first event on, and is the same one after it was resumed.
+        call("/draft/1");
+        m_client.calls.back()->handler->onHeaders(200, kProvenStream);
+        CPPUNIT_ASSERT_EQUAL(1, usage.counts["laundry"]);
+        m_client.calls.back()->handler->onData(kTwoEvents);
+        CPPUNIT_ASSERT_EQUAL(2, usage.counts["laundry"]);
+        m_client.calls.back()->end(UpstreamResult::Broken);
+        m_client.calls.back()->answer(200, kProvenStream, "id: 3\ndata: c\n\n");
+        CPPUNIT_ASSERT_EQUAL(2, usage.counts["laundry"]);
+        // An upstream that failed has run the request all the same.
+        call("/read/1");
+        m_client.calls.back()->answer(500, {{"proof", "1"}}, "failed");
+        m_client.calls.back()->answer(200, {{"proof", "1"}}, "ok");
+        CPPUNIT_ASSERT_EQUAL(3, usage.counts["laundry"]);
+    }
+
+    // Guards against requests that are billed although no upstream ran them.
+    void requestsThatDidNotRunAreNotCounted()
+    {
+        CountingUsage usage;
+        m_fleet->gateway(0).setUsageSink(&usage);
+        call("/order/1");
+        m_client.calls.back()->answer(503, {{"not-run", "1"}}, "");
+        m_client.calls.back()->answer(503, {{"not-run", "1"}}, "");
+        call("/read/1");
+        m_client.calls.back()->end(UpstreamResult::ConnectFailed);
+        m_fleet->call(0, "/order/1", {{"key", "other"}});
+        CPPUNIT_ASSERT(usage.counts.empty());
+    }
+
 private:
     /** Answers each attempt of a request alike. */
     void answerAll(int status, const HttpHeaders &headers, std::size_t size)
--- a/tests/servers/peers/load_exchange_test.cpp
+++ b/tests/servers/peers/load_exchange_test.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace hawthornslip::test {
@@ -157,6 +158,7 @@
     CPPUNIT_TEST(lostSummarizersAreReplaced);
     CPPUNIT_TEST(domainsExchangeSumsAgainAfterACut);
     CPPUNIT_TEST(silentNodeIsSubtractedOnce);
+    CPPUNIT_TEST(usageMessagesDoNotChangeLoads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -261,6 +263,35 @@
         }
     }
 
+    // Guards against a message about usage that is taken for a report without load.
+    void usageMessagesDoNotChangeLoads()
+    {
+        struct Receiver : public PeerUsage
+        {
+            void onPeerUsage(const NodeId &node, std::uint64_t boot,
+                             const std::string &bytes) override
+            {
+                received.push_back({node.value, boot, bytes});
+            }
+            std::vector<std::tuple<std::string, std::uint64_t, std::string>> received;
+        };
+        ExchangeCluster cluster(4, 2);
+        for (std::size_t i = 0; i < 4; ++i)
+            cluster.setRunning(i, 5);
+        cluster.loop.advance(seconds(3));
+        Receiver receiver;
+        cluster.nodes[1]->exchange.setUsage(&receiver);
+        for (const std::size_t i : {1, 2})
+            cluster.nodes[0]->exchange.sendUsage(NodeId(cluster.nodes[i]->self.address), "usage");
+        cluster.loop.advance(kLatency);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), receiver.received.size());
+        const auto &[node, boot, bytes] = receiver.received.front();
+        CPPUNIT_ASSERT_EQUAL(cluster.nodes[0]->self.address, node);
+        CPPUNIT_ASSERT(boot != 0);
+        CPPUNIT_ASSERT_EQUAL(std::string("usage"), bytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), cluster.knowing(20));
+    }
+
 private:
     static double bytesFor(std::size_t count)
     {
