Send the counts of unasked nodes to the contenders for the duties

Nodes that no holder asks now send their counts to the three contenders each second, the holder itself as well. Idle nodes send nothing.

--- a/modules/duties/contenders.cpp
+++ b/modules/duties/contenders.cpp
@@ -7,10 +7,15 @@
 
 namespace hawthornslip {
 
-bool isDutyContender(const NodeId &self, std::vector<NodeId> peers)
+std::vector<NodeId> dutyContenders(const NodeId &self, std::vector<NodeId> peers)
 {
     peers.push_back(self);
-    const auto first = rendezvousOrder("duties", peers, kDutyContenders);
+    return rendezvousOrder("duties", peers, kDutyContenders);
+}
+
+bool isDutyContender(const NodeId &self, std::vector<NodeId> peers)
+{
+    const auto first = dutyContenders(self, std::move(peers));
     return std::find(first.begin(), first.end(), self) != first.end();
 }
 
--- a/modules/duties/contenders.h
+++ b/modules/duties/contenders.h
@@ -10,6 +10,12 @@
 /** Nodes that compete for the duties: the holder and two that replace it when it is lost. */
 inline constexpr std::size_t kDutyContenders = 3;
 
+/**
+ * @param self this node. @param peers the other nodes that it hears.
+ * @return the nodes that compete for the duties, as this node sees them.
+ */
+std::vector<NodeId> dutyContenders(const NodeId &self, std::vector<NodeId> peers);
+
 /**
  * Chooses who competes for the duties, so that not every node reads the lease.
  *
--- a/servers/duties/usage_codec.h
+++ b/servers/duties/usage_codec.h
@@ -25,6 +25,7 @@
 /** Answers a question, in one or more parts. */
 struct UsageAnswer
 {
+    /** Of the question; 0 for counts that nobody has asked for. */
     std::uint64_t sequence = 0;
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
--- a/servers/duties/usage_service.cpp
+++ b/servers/duties/usage_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logger.h"
 #include "core/metric_names.h"
+#include "modules/duties/contenders.h"
 
 #include <fmt/format.h>
 
@@ -21,6 +22,8 @@
 constexpr Duration kSettleTime = milliseconds(100);
 // Longest wait for the final counts of a window; a node may have ended without notice.
 constexpr Duration kLongestWait = seconds(2);
+// A holder asks each second; after this time without a question there is none.
+constexpr Duration kUnaskedAfter = milliseconds(2500);
 // An answer that was longer on its way does not show the other node's clock.
 constexpr Duration kMaxClockDelay = milliseconds(200);
 
@@ -70,10 +73,13 @@
 
 void UsageService::tick()
 {
-    if (const auto term = m_parts.duties.current(m_parts.loop.now()))
+    const TimePoint now = m_parts.loop.now();
+    m_collector.forgetBefore(m_times.oldestKept(m_clock.windowAt(now)));
+    if (const auto term = m_parts.duties.current(now))
         collectAndReport(*term);
     else
         m_collectingSince = TimePoint{};
+    backUpCounts();
     m_parts.loop.after(kTickInterval, [this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             tick();
@@ -86,7 +92,6 @@
     m_clock.onNodeClock(m_self, m_parts.loop.wallNow(), now);
     m_clock.setToMedian(now);
     const std::uint64_t open = m_clock.windowAt(now);
-    m_collector.forgetBefore(m_times.oldestKept(open));
     std::erase_if(m_frozen, [oldest = m_times.oldestKept(open)](const auto &it) {
         return it.first < oldest;
     });
@@ -96,9 +101,7 @@
             m_collectingSince = now;
         m_collector.onCounts(m_self, 0, m_counter.countsFrom(*first));
         m_collector.onFinal(m_self, open);
-        std::vector<NodeId> nodes;
-        for (const auto &it : m_parts.peers.livePeers())
-            nodes.emplace_back(it);
+        const std::vector<NodeId> nodes = livePeers();
         ask(nodes, *first, open);
         ready = readyWindows(nodes, *first, open);
     }
@@ -107,6 +110,35 @@
     m_parts.metrics.gauge(metric::kUsagePending, {}, static_cast<double>(m_reporter.pending()));
 }
 
+std::vector<NodeId> UsageService::livePeers() const
+{
+    std::vector<NodeId> nodes;
+    for (const auto &it : m_parts.peers.livePeers())
+        nodes.emplace_back(it);
+    return nodes;
+}
+
+void UsageService::backUpCounts()
+{
+    const TimePoint now = m_parts.loop.now();
+    if (now - m_questionAt < kUnaskedAfter || now - m_backedUpAt < kAskInterval)
+        return;
+    m_backedUpAt = now;
+    // Windows that are not due any more have most likely been reported.
+    const std::uint64_t open = m_clock.windowAt(now);
+    const auto windows = static_cast<std::uint64_t>(m_times.due / m_times.window) + 1;
+    const UsageAnswer answer = makeAnswer(0, open > windows ? open - windows : 0);
+    if (answer.counts.empty())
+        return;
+    const auto messages = encodeUsageAnswer(answer);
+    for (const auto &node : dutyContenders(m_self, livePeers())) {
+        if (node == m_self)
+            continue;
+        for (const auto &it : messages)
+            m_parts.peers.sendUsage(node, it);
+    }
+}
+
 void UsageService::ask(const std::vector<NodeId> &nodes, std::uint64_t first, std::uint64_t open)
 {
     const TimePoint now = m_parts.loop.now();
@@ -154,14 +186,20 @@
     if (question.window != m_times.window)
         return;
     const TimePoint now = m_parts.loop.now();
+    m_questionAt = now;
     m_clock.onHolderTime(question.time, now);
+    for (const auto &it : encodeUsageAnswer(makeAnswer(question.sequence, question.firstWindow)))
+        m_parts.peers.sendUsage(node, it);
+}
+
+UsageAnswer UsageService::makeAnswer(std::uint64_t sequence, std::uint64_t first) const
+{
     UsageAnswer answer;
-    answer.sequence = question.sequence;
-    answer.openWindow = m_clock.windowAt(now);
+    answer.sequence = sequence;
+    answer.openWindow = m_clock.windowAt(m_parts.loop.now());
     answer.clock = m_parts.loop.wallNow();
-    answer.counts = m_counter.countsFrom(question.firstWindow);
-    for (const auto &it : encodeUsageAnswer(answer))
-        m_parts.peers.sendUsage(node, it);
+    answer.counts = m_counter.countsFrom(first);
+    return answer;
 }
 
 void UsageService::handle(const NodeId &node, std::uint64_t boot, const UsageAnswer &answer)
--- a/servers/duties/usage_service.h
+++ b/servers/duties/usage_service.h
@@ -69,11 +69,16 @@
 
     void tick();
     void collectAndReport(const DutyTerm &term);
+    /** Sends this node's counts to those that may hold the duty next, unless a holder asks. */
+    void backUpCounts();
+    std::vector<NodeId> livePeers() const;
     void ask(const std::vector<NodeId> &nodes, std::uint64_t first, std::uint64_t open);
     WindowCounts readyWindows(const std::vector<NodeId> &nodes, std::uint64_t first,
                               std::uint64_t open);
     void handle(const NodeId &node, std::uint64_t boot, const UsageQuestion &question);
     void handle(const NodeId &node, std::uint64_t boot, const UsageAnswer &answer);
+    /** @return the counts from the window @p first on. @param sequence of the question, or 0. */
+    UsageAnswer makeAnswer(std::uint64_t sequence, std::uint64_t first) const;
 
     void perform(const ReadJournal &action);
     void perform(const WriteJournal &action);
@@ -97,6 +102,9 @@
     /** Time from which the counts are collected; TimePoint{} while they are not. */
     TimePoint m_collectingSince{};
     std::map<std::uint64_t, Frozen> m_frozen;
+    /** Time of the last question of a holder to this node. */
+    TimePoint m_questionAt{};
+    TimePoint m_backedUpAt{};
     /** Expires with this object, so that later results are dropped. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
