Divide engine time fairly between workspaces in need

A workspace that sends many times its usual got most of a full service, as held requests are ordered by priority and due time only and every node sends its requests as soon as an engine has room.

Each node now sums the engine time that workspaces ask for and get, with what its peers report while requests wait for room. In need, a workspace above its max-min share goes after the others of its priority, leaves them half of the queue at an engine, and has its least urgent requests refused on arrival instead of after half of their objective. With one workspace, or room for all, nothing changes and reports have no byte more.

--- a/modules/peers/domain_loads.cpp
+++ b/modules/peers/domain_loads.cpp
@@ -4,6 +4,13 @@
 
 namespace hawthornslip {
 
+namespace {
+
+// Shares are decided by the largest workspaces.
+constexpr std::size_t kMaxUsesInSummary = 24;
+
+} // namespace
+
 void DomainLoads::onPeerLoad(const LoadChange &change)
 {
     Sum &sum = m_loads[change.upstreamHash];
@@ -22,8 +29,46 @@
     sum.tolerantRequests += added.tolerantRequests;
 }
 
+void DomainLoads::onPeerUses(const std::string &sender, std::uint64_t service,
+                             const std::vector<WorkspaceUse> &uses)
+{
+    auto &senders = m_uses[service];
+    if (uses.empty())
+        senders.erase(sender);
+    else
+        senders[sender] = uses;
+    if (senders.empty())
+        m_uses.erase(service);
+}
+
+void DomainLoads::addUsesTo(PeerReport &report) const
+{
+    for (const auto &[service, senders] : m_uses) {
+        std::map<std::uint32_t, WorkspaceUse> sums;
+        const auto add = [&sums](const std::vector<WorkspaceUse> &uses) {
+            for (const auto &it : uses) {
+                WorkspaceUse &sum = sums[it.workspace];
+                sum.workspace = it.workspace;
+                sum.asked += it.asked;
+                sum.given += it.given;
+            }
+        };
+        auto &uses = report.uses[service];
+        add(uses);
+        for (const auto &[sender, list] : senders)
+            add(list);
+        uses.clear();
+        for (const auto &[workspace, sum] : sums)
+            uses.push_back(sum);
+        std::sort(uses.begin(), uses.end(),
+                  [](const WorkspaceUse &a, const WorkspaceUse &b) { return a.asked > b.asked; });
+        uses.resize(std::min(uses.size(), kMaxUsesInSummary));
+    }
+}
+
 void DomainLoads::addTo(PeerReport &report) const
 {
+    addUsesTo(report);
     auto rest = m_loads;
     const auto add = [](NodeLoad &load, const Sum &sum) {
         load.running += static_cast<std::uint32_t>(std::max<std::int64_t>(0, sum.running));
--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -45,6 +45,21 @@
                                           demand.tolerantRequests - last.tolerantRequests});
         last = demand;
     }
+    applyUses(report.node, peer, report.uses);
+}
+
+void PeerLoads::applyUses(const std::string &sender, Peer &peer,
+                          const std::map<std::uint64_t, std::vector<WorkspaceUse>> &uses)
+{
+    for (const std::uint64_t service : peer.servicesInNeed) {
+        if (uses.count(service) == 0)
+            m_sink.onPeerUses(sender, service, {});
+    }
+    peer.servicesInNeed.clear();
+    for (const auto &[service, list] : uses) {
+        peer.servicesInNeed.push_back(service);
+        m_sink.onPeerUses(sender, service, list);
+    }
 }
 
 void PeerLoads::applyLoad(Peer &peer, const NodeLoad &load)
@@ -83,6 +98,7 @@
     if (it == m_peers.end())
         return;
     subtractLoads(it->second);
+    applyUses(node, it->second, {});
     m_peers.erase(it);
 }
 
@@ -94,6 +110,7 @@
             continue;
         }
         subtractLoads(it->second);
+        applyUses(it->first, it->second, {});
         it = m_peers.erase(it);
     }
 }
--- a/modules/peers/peer_loads.h
+++ b/modules/peers/peer_loads.h
@@ -4,9 +4,11 @@
 #include "modules/balancing/service_balancer.h"
 #include "modules/limits/named_limits.h"
 #include "modules/quarantine/crash_evidence.h"
+#include "modules/queueing/workspace_use.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +36,8 @@
     std::vector<NodeLoad> loads;
     /** Demand by the hash of the service's name. */
     std::vector<std::pair<std::uint64_t, NodeDemand>> demands;
+    /** Engine time of workspaces at services in need, by the hash of the service's name. */
+    std::map<std::uint64_t, std::vector<WorkspaceUse>> uses;
     CrashEvidence evidence;
     std::vector<LimitNotice> limits;
 };
@@ -46,6 +50,13 @@
 
     virtual void onPeerLoad(const LoadChange &change) = 0;
     virtual void onPeerDemand(std::uint64_t service, const NodeDemand &added) = 0;
+    /**
+     * Replaces the uses that @p sender has reported for a service.
+     *
+     * @param uses empty when it reports none any more, or is dropped.
+     */
+    virtual void onPeerUses(const std::string &sender, std::uint64_t service,
+                            const std::vector<WorkspaceUse> &uses) = 0;
 };
 
 /**
@@ -79,9 +90,13 @@
         TimePoint heardAt{};
         std::unordered_map<std::uint64_t, NodeLoad> loads;
         std::unordered_map<std::uint64_t, NodeDemand> demands;
+        /** Services of which it reports uses. */
+        std::vector<std::uint64_t> servicesInNeed;
     };
 
     void subtractLoads(Peer &peer);
+    void applyUses(const std::string &sender, Peer &peer,
+                   const std::map<std::uint64_t, std::vector<WorkspaceUse>> &uses);
     void applyLoad(Peer &peer, const NodeLoad &load);
 
     PeerLoadSink &m_sink;
--- a/modules/peers/tests/peer_loads_test.cpp
+++ b/modules/peers/tests/peer_loads_test.cpp
@@ -1,3 +1,4 @@
+#include "modules/peers/domain_loads.h"
 #include "modules/peers/peer_loads.h"
 #include "modules/peers/report_filter.h"
 
@@ -25,10 +26,16 @@
     {
         demand += added.tolerantTokens;
     }
+    void onPeerUses(const std::string &sender, std::uint64_t,
+                    const std::vector<WorkspaceUse> &list) override
+    {
+        uses[sender] = list;
+    }
 
     std::map<std::uint64_t, std::int64_t> running;
     std::map<std::uint64_t, std::uint64_t> tokens;
     std::uint64_t demand = 0;
+    std::map<std::string, std::vector<WorkspaceUse>> uses;
 };
 
 PeerReport makeReport(std::uint64_t sequence, std::uint32_t running, std::uint64_t tokens,
@@ -56,6 +63,8 @@
     CPPUNIT_TEST(restartedPeerStartsFromZero);
     CPPUNIT_TEST(demandOfAReplacedSummarizerIsCountedOnce);
     CPPUNIT_TEST(filterRepeatsChangesAndRefreshesTheRest);
+    CPPUNIT_TEST(usesAreReplacedAndEndWithTheirSender);
+    CPPUNIT_TEST(domainSumHasTheUsesOfItsNodes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -134,6 +143,50 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, sink.running[kUpstream]);
     }
 
+    // Guards against shares that count the use of a workspace after the need ended or its node was
+    // lost.
+    void usesAreReplacedAndEndWithTheirSender()
+    {
+        SumSink sink;
+        PeerLoads loads(sink);
+        auto report = makeReport(1, 1, 100);
+        report.uses = {{9, {{5, milliseconds(20), milliseconds(10)}}}};
+        loads.onReport(report, kStart);
+        CPPUNIT_ASSERT(sink.uses.at(report.node) == report.uses.at(9));
+        report.sequence = 2;
+        report.uses = {{9, {{6, milliseconds(30), milliseconds(10)}}}};
+        loads.onReport(report, kStart);
+        CPPUNIT_ASSERT(sink.uses.at(report.node) == report.uses.at(9));
+        loads.onReport(makeReport(3, 1, 100), kStart);
+        CPPUNIT_ASSERT(sink.uses.at(report.node).empty());
+        report.sequence = 4;
+        loads.onReport(report, kStart);
+        CPPUNIT_ASSERT(!sink.uses.at(report.node).empty());
+        loads.expire(kStart + seconds(4));
+        CPPUNIT_ASSERT(sink.uses.at(report.node).empty());
+    }
+
+    // Guards against shares that differ between failure domains, which know only each other's sums.
+    void domainSumHasTheUsesOfItsNodes()
+    {
+        DomainLoads domain;
+        domain.onPeerUses("a", 9, {{5, milliseconds(20), milliseconds(10)}});
+        domain.onPeerUses(
+                "b", 9,
+                {{5, milliseconds(2), milliseconds(1)}, {6, milliseconds(90), milliseconds(3)}});
+        PeerReport report;
+        report.uses = {{9, {{5, milliseconds(200), milliseconds(100)}}}};
+        domain.addTo(report);
+        const std::vector<WorkspaceUse> sums = {{5, milliseconds(222), milliseconds(111)},
+                                                {6, milliseconds(90), milliseconds(3)}};
+        CPPUNIT_ASSERT(report.uses.at(9) == sums);
+        domain.onPeerUses("a", 9, {});
+        domain.onPeerUses("b", 9, {});
+        PeerReport calm;
+        domain.addTo(calm);
+        CPPUNIT_ASSERT(calm.uses.empty());
+    }
+
     // Guards against reports that grow with the number of upstreams, and against a lost report that
     // leaves a load wrong permanently.
     void filterRepeatsChangesAndRefreshesTheRest()
--- a/modules/queueing/admission.h
+++ b/modules/queueing/admission.h
@@ -25,6 +25,19 @@
     Duration heldFor{0};
 };
 
+/** How the fair share of a request's workspace affects it. */
+struct ShareState
+{
+    /** Its workspace was given more than its share while requests wait for room. */
+    bool isAboveShare = false;
+    /** Its workspace's share has no room for it, so it is refused before it waits. */
+    bool isRefusedEarly = false;
+};
+
+/** @return true when @p placement can begin to serve the request soon. */
+bool hasRoom(const RequestDemand &demand, const RequestPlacement &placement,
+             const CallerWait &wait);
+
 /**
  * Decides whether a request is sent, held or refused.
  *
@@ -33,8 +46,10 @@
  * its objective can be met, and refused as soon as it cannot.
  *
  * @param lessUrgentSent true when less urgent requests of the service were sent recently.
+ * @param share fair share of the request's workspace.
  */
 AdmissionDecision decideAdmission(const RequestDemand &demand, const RequestPlacement &placement,
-                                  const CallerWait &wait, bool lessUrgentSent);
+                                  const CallerWait &wait, bool lessUrgentSent,
+                                  const ShareState &share = {});
 
 } // namespace hawthornslip
--- a/modules/queueing/hold_queue.h
+++ b/modules/queueing/hold_queue.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <tuple>
+#include <vector>
 
 namespace hawthornslip {
 
@@ -20,9 +21,18 @@
     bool isLate = false;
     /** Time at which its objective expires. */
     TimePoint dueBy{};
+    /** Result of workspaceKey(); 0 when requests are not divided between workspaces. */
+    std::uint32_t workspace = 0;
 
-    /** @return the tuple by which ranks are compared. */
-    auto key() const { return std::tuple(isLate, workspacePriority, routePriority, dueBy); }
+    /**
+     * @param isAboveShare true for a request of a workspace above its share, which goes after the
+     *        others of its priority.
+     * @return the tuple by which ranks are compared.
+     */
+    auto key(bool isAboveShare) const
+    {
+        return std::tuple(isLate, workspacePriority, routePriority, isAboveShare, dueBy);
+    }
 };
 
 /**
@@ -44,6 +54,12 @@
         Held
     };
 
+    /** @return true when the workspace is above its share; asked anew at each use. */
+    using IsAboveShare = std::function<bool(std::uint32_t workspace)>;
+
+    /** @param isAboveShare empty when requests are not divided between workspaces. */
+    explicit HoldQueue(IsAboveShare isAboveShare = {});
+
     /** Adds a request. @param trySend tries to send it. */
     Ticket add(const HoldRank &rank, std::function<SendResult()> trySend);
 
@@ -57,14 +73,28 @@
      */
     void trySendAll(std::size_t maxHeld);
 
+    /**
+     * @return true when a request of @p rank, whose workspace is above its share, goes after a held
+     *         one of a workspace that is not.
+     */
+    bool mustYield(const HoldRank &rank) const;
+
     /** @return the number of held requests. */
     std::size_t size() const { return m_entries.size(); }
 
 private:
-    using Key = std::pair<decltype(HoldRank{}.key()), Ticket>;
+    struct Entry
+    {
+        HoldRank rank;
+        std::function<SendResult()> trySend;
+    };
+
+    bool isAboveShare(const HoldRank &rank) const;
+    /** @return the tickets of all held requests, the most urgent first. */
+    std::vector<Ticket> order() const;
 
-    std::map<Key, std::function<SendResult()>> m_entries;
-    std::map<Ticket, Key> m_keys;
+    IsAboveShare m_isAboveShare;
+    std::map<Ticket, Entry> m_entries;
     Ticket m_lastTicket = 0;
 };
 
--- a/modules/queueing/tests/hold_queue_test.cpp
+++ b/modules/queueing/tests/hold_queue_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(sendsByUrgency);
     CPPUNIT_TEST(keepsRequestsWithoutRoom);
     CPPUNIT_TEST(sendMayChangeTheQueue);
+    CPPUNIT_TEST(workspaceAboveItsShareGoesLastInItsPriority);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,6 +40,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.size());
     }
 
+    // Guards against a workspace at ten times its usual behind whose requests the others wait, and
+    // against shares that overrule priorities.
+    void workspaceAboveItsShareGoesLastInItsPriority()
+    {
+        constexpr std::uint32_t kGreedy = 7;
+        bool isAbove = true;
+        HoldQueue queue([&isAbove](std::uint32_t it) { return it == kGreedy && isAbove; });
+        std::string order;
+        const auto add = [&](const std::string &name, int route, int due, std::uint32_t of) {
+            queue.add({0, route, false, TimePoint(seconds(due)), of}, [&order, name] {
+                order += name;
+                return HoldQueue::SendResult::Held;
+            });
+        };
+        add("b", 0, 1, kGreedy);
+        add("a", 0, 5, 3);
+        add("d", 1, 1, kGreedy);
+        add("c", 1, 5, 3);
+        queue.trySendAll(10);
+        CPPUNIT_ASSERT_EQUAL(std::string("abcd"), order);
+        CPPUNIT_ASSERT(queue.mustYield({0, 0, false, TimePoint(seconds(1)), kGreedy}));
+        CPPUNIT_ASSERT(!queue.mustYield({-1, 0, false, TimePoint(seconds(1)), kGreedy}));
+        // The order follows the shares while requests are held.
+        isAbove = false;
+        order.clear();
+        queue.trySendAll(10);
+        CPPUNIT_ASSERT_EQUAL(std::string("badc"), order);
+    }
+
     void keepsRequestsWithoutRoom()
     {
         HoldQueue queue;
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -4,7 +4,6 @@
 #include "core/logger.h"
 #include "core/metric_names.h"
 #include "modules/ownership/rendezvous_hash.h"
-#include "modules/queueing/retry_delay.h"
 #include "servers/gateway/forwarding.h"
 #include "servers/gateway/gateway.h"
 
@@ -155,68 +154,6 @@
                                                   m_service->balancer.peakPrefillRate());
 }
 
-void Exchange::admitOrHold()
-{
-    if (admit() != AdmissionDecision::Hold)
-        return;
-    m_ticket = m_service->holdQueue.add(
-            holdRank(), [self = shared_from_this()] { return self->trySendHeld(); });
-    m_gateway.scheduleHoldQueueRun(*m_service);
-}
-
-HoldQueue::SendResult Exchange::trySendHeld()
-{
-    const auto ticket = std::exchange(m_ticket, 0);
-    if (admit() != AdmissionDecision::Hold)
-        return HoldQueue::SendResult::Done;
-    m_ticket = ticket;
-    return HoldQueue::SendResult::Held;
-}
-
-AdmissionDecision Exchange::admit()
-{
-    if (isQuarantined()) {
-        fail(Reason::PromptQuarantined);
-        return AdmissionDecision::Refuse;
-    }
-    const TimePoint now = m_gateway.parts().loop.now();
-    const auto placement = m_service->balancer.place(m_demand, m_tried, now);
-    if (!placement) {
-        fail(Reason::NoUpstream);
-        return AdmissionDecision::Refuse;
-    }
-    // Set before the decision, as the log line of a refusal reports the placement too.
-    m_placement = *placement;
-    const CallerWait wait{m_route->objective, m_spentBefore, now - m_arrivedAt};
-    const AdmissionDecision admission = decideAdmission(
-            m_demand, *placement, wait, m_service->hasSentLessUrgent(m_demand.urgency, now));
-    if (admission == AdmissionDecision::Send)
-        send(*placement);
-    else if (admission == AdmissionDecision::Refuse)
-        fail(Reason::DeadlineUnreachable);
-    return admission;
-}
-
-bool Exchange::isQuarantined()
-{
-    const auto hold = m_gateway.promptGuard().check(m_traits);
-    if (!hold)
-        return false;
-    m_quarantineLeft = hold->remaining;
-    logQuarantined(*hold);
-    return true;
-}
-
-HoldRank Exchange::holdRank() const
-{
-    HoldRank rank;
-    rank.workspacePriority = m_workspace == nullptr ? 0 : m_workspace->priority;
-    rank.routePriority = m_route->priority;
-    rank.isLate = m_spentBefore >= m_route->objective;
-    rank.dueBy = m_arrivedAt + m_route->objective - m_spentBefore;
-    return rank;
-}
-
 void Exchange::send(const RequestPlacement &placement)
 {
     m_placement = placement;
@@ -227,6 +164,7 @@
     m_hasGoneOn = false;
     m_begunAt = TimePoint{};
     m_service->balancer.onSent(placement, m_sentAt);
+    m_service->shares.onGiven(m_shared, m_sentAt);
     m_gateway.promptGuard().onSent(m_traits);
     m_service->lastSentAt[m_demand.urgency] = m_sentAt;
     m_gateway.notifyLoadChanged();
@@ -326,6 +264,7 @@
         m_service->interference.onStream(m_route->name,
                                          (stats.lastEventAt - stats.firstOutputAt) /
                                                  static_cast<std::int64_t>(stats.events - 1));
+    m_service->shares.onAnswered(m_route->name, m_gateway.parts().loop.now() - m_sentAt);
     relayAnswer();
 }
 
@@ -479,16 +418,6 @@
     finish(status, reason);
 }
 
-Duration Exchange::retryAfter(Reason reason)
-{
-    if (reason == Reason::PromptQuarantined)
-        return m_quarantineLeft;
-    const Duration left = m_route == nullptr ? seconds(1) : timeLeft();
-    const bool isOverload = reason == Reason::DeadlineUnreachable || reason == Reason::QueueFull;
-    return isOverload ? overloadRetryDelay(left, m_gateway.random())
-                      : localRefusalRetryDelay(left, m_gateway.random());
-}
-
 void Exchange::onTimeout()
 {
     m_timer = 0;
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -49,6 +49,11 @@
     void admitOrHold();
     HoldQueue::SendResult trySendHeld();
     AdmissionDecision admit();
+    /** @return true when the request waits behind held ones of workspaces below their share. */
+    bool mustYieldToHeld() const;
+    /** @return the key of its workspace; 0 unless engine time is divided between workspaces. */
+    std::uint32_t workspaceInShares() const;
+    void recordAsked(TimePoint now);
     bool isQuarantined();
     HoldRank holdRank() const;
     void send(const RequestPlacement &placement);
@@ -100,6 +105,8 @@
     ServiceContext *m_service = nullptr;
     RequestDemand m_demand;
     PromptTraits m_traits;
+    SharedRequest m_shared;
+    bool m_isAskedRecorded = false;
     /** Time until requests like this one are sent again. */
     Duration m_quarantineLeft{0};
 
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -112,7 +112,7 @@
     if (!context)
         context = std::make_unique<ServiceContext>(
                 service, SlidingWindowRetryBudget(m_settings.retryRatio, m_settings.retryWindow),
-                m_random());
+                m_parts.loop, m_random());
     auto &directory = m_state.upstreams();
     const TimePoint now = m_parts.loop.now();
     directory.expire(now);
@@ -139,6 +139,15 @@
     }
 }
 
+void Gateway::onPeerUses(const std::string &sender, std::uint64_t service,
+                         const std::vector<WorkspaceUse> &uses)
+{
+    for (auto &[name, context] : m_services) {
+        if (rendezvousMemberHash(name) == service)
+            context->shares.workspaces().setPeer(sender, uses, m_parts.loop.now());
+    }
+}
+
 void Gateway::setRequestLimit(std::uint64_t upstream, std::optional<double> requestsPerSecond)
 {
     for (auto &[name, context] : m_services)
@@ -150,7 +159,11 @@
     for (const auto &[name, context] : m_services) {
         const auto loads = context->balancer.nodeLoads();
         report.loads.insert(report.loads.end(), loads.begin(), loads.end());
-        report.demands.emplace_back(rendezvousMemberHash(name), context->balancer.nodeDemand());
+        const std::uint64_t service = rendezvousMemberHash(name);
+        report.demands.emplace_back(service, context->balancer.nodeDemand());
+        auto uses = context->shares.workspaces().usesForReport(m_parts.loop.now());
+        if (!uses.empty())
+            report.uses.emplace(service, std::move(uses));
     }
 }
 
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -70,6 +70,8 @@
 
     void onPeerLoad(const LoadChange &change) override;
     void onPeerDemand(std::uint64_t service, const NodeDemand &added) override;
+    void onPeerUses(const std::string &sender, std::uint64_t service,
+                    const std::vector<WorkspaceUse> &uses) override;
     /** Adds this node's loads and demands to a report. */
     void collectLoads(PeerReport &report) const;
     /** Sets the callback for changes of this node's load at an upstream. */
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -17,6 +17,20 @@
             toMillis(now - at), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+void encodeUses(const std::vector<WorkspaceUse> &uses, gateway::ServiceDemand &message)
+{
+    const auto millis = [](Duration time) {
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+                toMillis(time), 0, std::numeric_limits<std::uint32_t>::max()));
+    };
+    for (const auto &it : uses) {
+        auto *use = message.add_uses();
+        use->set_workspace(it.workspace);
+        use->set_asked(millis(it.asked));
+        use->set_given(millis(it.given));
+    }
+}
+
 void encodeEvidence(const CrashEvidence &evidence, TimePoint now, gateway::LoadReport &message)
 {
     for (const auto &it : evidence.observations) {
@@ -104,6 +118,8 @@
         demand->set_sensitive_tokens(it.sensitiveTokens);
         demand->set_requests(it.requests);
         demand->set_tolerant_requests(it.tolerantRequests);
+        if (const auto uses = report.uses.find(service); uses != report.uses.end())
+            encodeUses(uses->second, *demand);
     }
     encodeEvidence(report.evidence, now, message);
     for (const auto &it : report.limits) {
@@ -137,10 +153,14 @@
             load.promptTokens[i] = it.prompt_tokens(static_cast<int>(i));
         report.loads.push_back(load);
     }
-    for (const auto &it : message.demands())
+    for (const auto &it : message.demands()) {
         report.demands.emplace_back(it.service(),
                                     NodeDemand{it.tolerant_tokens(), it.sensitive_tokens(),
                                                it.requests(), it.tolerant_requests()});
+        for (const auto &use : it.uses())
+            report.uses[it.service()].push_back(
+                    {use.workspace(), milliseconds(use.asked()), milliseconds(use.given())});
+    }
     report.evidence = decodeEvidence(message, now);
     report.limits = decodeLimits(message, now);
     return report;
--- a/tests/servers/peers/load_exchange_test.cpp
+++ b/tests/servers/peers/load_exchange_test.cpp
@@ -83,6 +83,8 @@
     void deregister(const std::string &) override {}
     void onPeerLoad(const LoadChange &change) override { peersRunning += change.running; }
     void onPeerDemand(std::uint64_t, const NodeDemand &) override {}
+    void onPeerUses(const std::string &, std::uint64_t, const std::vector<WorkspaceUse> &) override
+    {}
     CrashEvidence evidenceForReport(const ReportReceivers &) override { return {}; }
     CrashEvidence evidenceForSummary() override { return {}; }
     std::vector<LimitNotice> limitsForReport() override { return {}; }
