--- a/modules/usage/tests/usage_counts_test.cpp
+++ b/modules/usage/tests/usage_counts_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(lostAndDoubledMessagesDoNotChangeTheSum);
     CPPUNIT_TEST(restartedNodeAddsToItsEarlierCounts);
     CPPUNIT_TEST(missingNodesAreCounted);
+    CPPUNIT_TEST(windowThatNobodyCountedIsNotKnown);
     CPPUNIT_TEST(jumpOfOneClockDoesNotMoveWindows);
     CPPUNIT_TEST(delayedQuestionDoesNotMoveWindows);
     CPPUNIT_TEST(fewClocksChangeNothing);
@@ -63,15 +64,28 @@
     {
         UsageCollector collector;
         const std::vector<NodeId> nodes{NodeId("a"), NodeId("b")};
-        collector.onFinal(nodes[0], 11);
+        collector.onFinal(nodes[0], 1, 11);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), collector.sum(10, nodes).missing);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), collector.firstOpen(nodes[1], 10));
-        collector.onFinal(nodes[1], 10);
+        collector.onFinal(nodes[1], 1, 10);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), collector.sum(10, nodes).missing);
-        collector.onFinal(nodes[1], 12);
+        collector.onFinal(nodes[1], 1, 12);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), collector.sum(10, nodes).missing);
     }
 
+    // Guards against a report without requests for a window whose counts ended with their nodes.
+    void windowThatNobodyCountedIsNotKnown()
+    {
+        UsageCollector collector;
+        const NodeId node("n");
+        collector.onFinal(node, 10, 12);
+        CPPUNIT_ASSERT(!collector.sum(9, {node}).isKnown);
+        CPPUNIT_ASSERT(collector.sum(10, {node}).isKnown);
+        CPPUNIT_ASSERT(collector.sum(11, {node}).isKnown);
+        collector.onCounts(node, 1, {{9, {{"a", 1}}}});
+        CPPUNIT_ASSERT(collector.sum(9, {node}).isKnown);
+    }
+
     // Guards against a clock step of one node, or of the holder, that moves requests into another
     // window.
     void jumpOfOneClockDoesNotMoveWindows()
--- a/modules/usage/usage_collector.h
+++ b/modules/usage/usage_collector.h
@@ -19,6 +19,9 @@
     std::size_t parts = 0;
     /** Nodes whose counts may not be final. */
     std::size_t missing = 0;
+    /** False when all nodes that counted in the window have ended before their counts were heard.
+     */
+    bool isKnown = false;
 };
 
 /**
@@ -31,8 +34,12 @@
     /** Handles counts of the node @p node since its start @p boot. */
     void onCounts(const NodeId &node, std::uint64_t boot, const WindowCounts &counts);
 
-    /** Records that onCounts() has got all that @p node counted in windows before @p window. */
-    void onFinal(const NodeId &node, std::uint64_t window);
+    /**
+     * Records that onCounts() has got all that @p node counted before the window @p open.
+     *
+     * @param since the window in which that node started to count.
+     */
+    void onFinal(const NodeId &node, std::uint64_t since, std::uint64_t open);
 
     /** @return the first window, at least @p from, whose counts of @p node may not be final. */
     std::uint64_t firstOpen(const NodeId &node, std::uint64_t from) const;
@@ -46,8 +53,13 @@
 private:
     /** Counts by node and start. */
     std::map<std::pair<NodeId, std::uint64_t>, WindowCounts> m_counts;
-    /** First window that may not be final, by node. */
-    std::map<NodeId, std::uint64_t> m_open;
+    struct FinalWindows
+    {
+        std::uint64_t since = 0;
+        std::uint64_t open = 0;
+    };
+
+    std::map<NodeId, FinalWindows> m_final;
 };
 
 } // namespace hawthornslip
--- a/servers/duties/usage_codec.cpp
+++ b/servers/duties/usage_codec.cpp
@@ -56,6 +56,7 @@
         out->set_sequence(answer.sequence);
         out->set_part(static_cast<std::uint32_t>(encoded.size()));
         out->set_parts(static_cast<std::uint32_t>(messages.size()));
+        out->set_since(answer.since);
         out->set_open_window(answer.openWindow);
         out->set_clock_ms(answer.clock);
         encoded.push_back(it.SerializeAsString());
@@ -76,7 +77,8 @@
     if (!message.has_answer())
         return std::nullopt;
     const auto &in = message.answer();
-    UsageAnswer answer{in.sequence(), in.part(), in.parts(), in.open_window(), in.clock_ms(), {}};
+    UsageAnswer answer{in.sequence(),    in.part(),     in.parts(), in.since(),
+                       in.open_window(), in.clock_ms(), {}};
     for (const auto &window : in.windows()) {
         auto &counts = answer.counts[window.window()];
         for (const auto &it : window.workspaces())
--- a/servers/duties/usage_codec.h
+++ b/servers/duties/usage_codec.h
@@ -29,6 +29,8 @@
     std::uint64_t sequence = 0;
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
+    /** The window in which the node started to count. */
+    std::uint64_t since = 0;
     /** Counts of earlier windows are final. */
     std::uint64_t openWindow = 0;
     /** Wall clock of the node that answers. */
--- a/servers/duties/usage_service.cpp
+++ b/servers/duties/usage_service.cpp
@@ -42,6 +42,7 @@
     , m_times(times)
     , m_self(std::move(self))
     , m_clock(times.window, parts.loop.wallNow(), parts.loop.now())
+    , m_startedAt(parts.loop.now())
     , m_counter(times)
     , m_reporter(times)
 {
@@ -100,7 +101,7 @@
         if (m_collectingSince == TimePoint{})
             m_collectingSince = now;
         m_collector.onCounts(m_self, 0, m_counter.countsFrom(*first));
-        m_collector.onFinal(m_self, open);
+        m_collector.onFinal(m_self, m_clock.windowAt(m_startedAt), open);
         const std::vector<NodeId> nodes = livePeers();
         ask(nodes, *first, open);
         ready = readyWindows(nodes, *first, open);
@@ -167,7 +168,7 @@
         if (!m_reporter.needsCounts(window) || waited < kSettleTime)
             continue;
         WindowUsage usage = m_collector.sum(window, nodes);
-        if (usage.missing > 0 && waited < kLongestWait)
+        if (!usage.isKnown || (usage.missing > 0 && waited < kLongestWait))
             continue;
         m_frozen[window] = {usage.parts, usage.missing};
         ready[window] = std::move(usage.counts);
@@ -196,6 +197,7 @@
 {
     UsageAnswer answer;
     answer.sequence = sequence;
+    answer.since = m_clock.windowAt(m_startedAt);
     answer.openWindow = m_clock.windowAt(m_parts.loop.now());
     answer.clock = m_parts.loop.wallNow();
     answer.counts = m_counter.countsFrom(first);
@@ -213,7 +215,7 @@
         m_clock.onNodeClock(node, answer.clock, now);
     it->second.answeredParts.insert(answer.part);
     if (it->second.answeredParts.size() == answer.parts)
-        m_collector.onFinal(node, answer.openWindow);
+        m_collector.onFinal(node, answer.since, answer.openWindow);
 }
 
 void UsageService::perform(const ReadJournal &action)
--- a/servers/duties/usage_service.h
+++ b/servers/duties/usage_service.h
@@ -93,6 +93,7 @@
     UsageTimes m_times;
     NodeId m_self;
     WindowClock m_clock;
+    TimePoint m_startedAt;
     UsageCounter m_counter;
     UsageCollector m_collector;
     UsageReporter m_reporter;
--- a/tests/servers/duties/usage_service_test.cpp
+++ b/tests/servers/duties/usage_service_test.cpp
@@ -201,6 +201,7 @@
     CPPUNIT_TEST(successorReportsTheSameCounts);
     CPPUNIT_TEST(newHolderCollectsWindowsThatAreNotReported);
     CPPUNIT_TEST(windowThatEndsDuringAnOutageIsReportedLater);
+    CPPUNIT_TEST(windowThatNobodyKnowsIsNotReported);
     CPPUNIT_TEST(refusedGenerationEndsTheTerm);
     CPPUNIT_TEST(idleNodesSendNothing);
     CPPUNIT_TEST(nodeThatEndsWithoutAHolderIsCounted);
@@ -326,6 +327,26 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), cluster.reported.at(window).at("a"));
     }
 
+    // Guards against a report without requests after all nodes have been replaced.
+    void windowThatNobodyKnowsIsNotReported()
+    {
+        UsageCluster cluster(3);
+        cluster.finishWindow(milliseconds(10));
+        const std::uint64_t window = cluster.window();
+        for (auto &it : cluster.nodes)
+            it->request("a", 3);
+        // Messages on their way would be heard by the new nodes.
+        cluster.finishWindow(milliseconds(10));
+        for (std::size_t i = 0; i < cluster.nodes.size(); ++i)
+            cluster.restart(i);
+        cluster.loop.advance(seconds(1));
+        cluster.nodes[1]->request("a", 2);
+        cluster.hold(0);
+        cluster.finishWindow(seconds(3));
+        CPPUNIT_ASSERT(!cluster.reported.contains(window));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), cluster.reported.at(window + 1).at("a"));
+    }
+
     // Guards against a holder that goes on after the provider has seen a later one.
     void refusedGenerationEndsTheTerm()
     {
