Hold the wanted capacity for a wave and find reclaimed upstreams from the list

Cause: refused and returning reclaimable upstreams moved the plan back and forth, the whole reserve was replaced by ordinary upstreams when a domain had none on offer, prompts and slots were counted twice, and the loss of a domain's reclaimable upstreams was noticed only by the next refusal. Change: PeakHold for the wanted capacity; a fall needs more than the margin of a rise; reserves only of reclaimable upstreams; OrderBook::findReclaimed.

--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -80,8 +80,6 @@
 
     /** @return prompt tokens per second that an engine prefills for a single request. */
     double peakPrefillRate() const { return m_rate.peakTokensPerSecond(); }
-    /** @return prompt tokens per second that an engine prefills among other requests. */
-    double prefillRate() const { return m_rate.tokensPerSecond(); }
 
     /** @return the number of upstreams that may get requests. */
     std::size_t size() const { return m_order.size(); }
--- a/modules/scaling/capacity_split.cpp
+++ b/modules/scaling/capacity_split.cpp
@@ -75,7 +75,7 @@
            withReclaimable);
     // What the maxima of the domains with reclaimable upstreams do not allow.
     const std::uint32_t placed = totalOf(counts);
-    spread(counts, goal.total - std::min(goal.total, placed), UpstreamSort::Ordinary,
+    spread(counts, goal.needed - std::min(goal.needed, placed), UpstreamSort::Ordinary,
            policy.maxUpstreams, domains);
     for (const auto &it : domains) {
         const std::uint32_t least = std::min(policy.minUpstreams, policy.maxUpstreams);
--- a/modules/scaling/capacity_split.h
+++ b/modules/scaling/capacity_split.h
@@ -22,6 +22,8 @@
 struct CapacityGoal
 {
     std::uint32_t total = 0;
+    /** The part of it without reserves, which ordinary upstreams provide if there are no others. */
+    std::uint32_t needed = 0;
     /** What must be left when all reclaimable upstreams of one failure domain are taken away. */
     std::uint32_t afterLoss = 0;
     /** Least number of ordinary ones. */
--- a/modules/scaling/demand_meter.cpp
+++ b/modules/scaling/demand_meter.cpp
@@ -23,6 +23,7 @@
 
 DemandMeter::DemandMeter(Duration keepFor)
     : m_keepFor(keepFor)
+    , m_peak(keepFor)
 {}
 
 void DemandMeter::add(const DemandSample &sample, const UpstreamRate &rate, Duration startTime,
@@ -39,9 +40,12 @@
         m_firstDemandAt = now;
     const double rise = std::max(0.0, slopePerSecond(current, now) * toSeconds(startTime));
     const double expected = current + std::min(rise, kMaxRise * current);
-    keepPeak(current, now);
-    m_estimate = {current, expected, m_peaks.front().value,
-                  m_firstDemandAt == TimePoint{} ? Duration(0) : now - m_firstDemandAt};
+    const Duration observedFor =
+            m_firstDemandAt == TimePoint{} ? Duration(0) : now - m_firstDemandAt;
+    const double span = toSeconds(std::clamp(observedFor, seconds(1), m_keepFor));
+    const double weight = toSeconds(now - m_samples[m_samples.size() - 2].at) / span;
+    const double mean = m_estimate.mean + std::min(1.0, weight) * (current - m_estimate.mean);
+    m_estimate = {current, expected, m_peak.add(current, now), mean, observedFor};
 }
 
 double DemandMeter::engineTime(const DemandSample &sample, const UpstreamRate &rate, TimePoint now)
@@ -59,7 +63,8 @@
     }
     const double slots = std::max(running + sample.held, requests * m_slotSeconds);
     const double prefill = rate.prefillTokens > 0 ? tokens / rate.prefillTokens : 0;
-    return prefill + slots / std::max(1U, rate.slots);
+    // Both at once: a request holds its slot while its prompt is read.
+    return std::max(prefill, slots / std::max(1U, rate.slots));
 }
 
 double DemandMeter::slopePerSecond(double current, TimePoint now)
@@ -71,13 +76,4 @@
     return span < kSlopeWindow ? 0 : (current - m_values.front().value) / toSeconds(span);
 }
 
-void DemandMeter::keepPeak(double value, TimePoint now)
-{
-    while (!m_peaks.empty() && m_peaks.back().value <= value)
-        m_peaks.pop_back();
-    m_peaks.push_back({value, now});
-    while (now - m_peaks.front().at > m_keepFor)
-        m_peaks.pop_front();
-}
-
 } // namespace hawthornslip
--- a/modules/scaling/demand_meter.h
+++ b/modules/scaling/demand_meter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "modules/scaling/peak_hold.h"
 
 #include <cstdint>
 #include <deque>
@@ -39,6 +40,8 @@
     double expected = 0;
     /** Highest value of @c current within the time that capacity is kept for. */
     double peak = 0;
+    /** Average of @c current over about that time. */
+    double mean = 0;
     /** Time since the first demand; capacity is not lowered before it covers a whole wave. */
     Duration observedFor{0};
 };
@@ -76,14 +79,12 @@
 
     double engineTime(const DemandSample &sample, const UpstreamRate &rate, TimePoint now);
     double slopePerSecond(double current, TimePoint now);
-    void keepPeak(double value, TimePoint now);
 
     Duration m_keepFor;
     std::deque<TimedSample> m_samples;
     /** Values of the last seconds, the oldest first. */
     std::deque<TimedValue> m_values;
-    /** Falling maxima, the oldest and highest first. */
-    std::deque<TimedValue> m_peaks;
+    PeakHold m_peak;
     /** Seconds that a request occupies a slot, averaged over the recent requests. */
     double m_slotSeconds = 0;
     TimePoint m_firstDemandAt{};
--- a/modules/scaling/order_book.cpp
+++ b/modules/scaling/order_book.cpp
@@ -96,14 +96,22 @@
     entry.refusedUntil = now + entry.refusalDelay;
 }
 
-void OrderBook::onReclaimed(const FailureDomain &domain, TimePoint now)
+std::vector<FailureDomain> OrderBook::findReclaimed(const UpstreamCounts &ready, TimePoint now)
 {
-    Entry &entry = m_entries[{domain, UpstreamSort::Reclaimable}];
-    if (now < entry.refusedUntil)
-        return;
-    refuse(entry, now);
-    // The provider may still count them, so the number that is left is ordered.
-    entry.isUncertain = true;
+    std::vector<FailureDomain> domains;
+    for (const auto &[subject, n] : ready)
+        m_entries.try_emplace(subject);
+    for (auto &[subject, entry] : m_entries) {
+        const auto before = std::exchange(entry.ready, countOf(ready, subject));
+        const bool isGone = before > 0 && entry.ready == 0 && entry.accepted != 0U;
+        if (subject.sort != UpstreamSort::Reclaimable || !isGone)
+            continue;
+        refuse(entry, now);
+        // The provider may still count them, so the number that is left is ordered.
+        entry.isUncertain = true;
+        domains.push_back(subject.domain);
+    }
+    return domains;
 }
 
 std::set<FailureDomain> OrderBook::withoutReclaimable(TimePoint now) const
--- a/modules/scaling/order_book.h
+++ b/modules/scaling/order_book.h
@@ -39,8 +39,12 @@
     /** Records how an order ended. */
     void onResult(const DueOrder &order, ProviderResult result, TimePoint now);
 
-    /** Records that the provider takes the reclaimable upstreams of @p domain away. */
-    void onReclaimed(const FailureDomain &domain, TimePoint now);
+    /**
+     * Compares the upstreams with the orders.
+     *
+     * @return failure domains whose reclaimable upstreams were all taken away since the last call.
+     */
+    std::vector<FailureDomain> findReclaimed(const UpstreamCounts &ready, TimePoint now);
 
     /** @return failure domains that had no reclaimable upstreams to offer recently. */
     std::set<FailureDomain> withoutReclaimable(TimePoint now) const;
@@ -50,6 +54,8 @@
     {
         /** The last value that the provider has accepted from this node. */
         std::optional<std::uint32_t> accepted;
+        /** The last number of upstreams that took requests. */
+        std::uint32_t ready = 0;
         bool inFlight = false;
         /** A call ended without an answer and may be carried out at any time. */
         bool isUncertain = false;
--- a/modules/scaling/scaling_planner.cpp
+++ b/modules/scaling/scaling_planner.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // A rise is rounded up by this fraction, so that a slow one needs few orders.
-constexpr double kRiseMargin = 0.05;
+constexpr double kRiseMargin = 0.1;
 // Upstreams that start together are listed one after the other.
 constexpr Duration kSettleTime = seconds(2);
 
@@ -34,6 +34,7 @@
 
 ScalingPlanner::ScalingPlanner(ScalingSettings settings)
     : m_settings(settings)
+    , m_goal(settings.keepFor)
 {}
 
 const UpstreamCounts &ScalingPlanner::plan(const ScalingView &view, TimePoint now)
@@ -74,33 +75,29 @@
     }
 }
 
-double ScalingPlanner::reserve(const ScalingView &view) const
-{
-    const auto all = domains(view);
-    const bool isOffered =
-            offersReclaimable(view.policy) && std::ranges::any_of(all, [&view](const auto &it) {
-                return !view.withoutReclaimable.contains(it);
-            });
-    return isOffered ? m_settings.jumpReserve : m_settings.waveReserve;
-}
-
 void ScalingPlanner::updateTotal(const ScalingView &view, TimePoint now)
 {
     if (m_total == 0) {
         m_total = m_initial;
+        m_plannedSince = now;
         m_steppedAt = now;
     }
-    const double needed = std::max(view.demand.expected, view.demand.peak * (1 + reserve(view)));
-    auto goal = ceiled(needed / m_settings.targetUse);
-    if (view.demand.observedFor < m_settings.keepFor)
+    const DemandEstimate &demand = view.demand;
+    double wanted = std::max(demand.expected, demand.peak * (1 + m_settings.waveReserve));
+    if (offersReclaimable(view.policy))
+        wanted = std::max(wanted, demand.mean * (1 + m_settings.jumpReserve));
+    // A rise that was expected and did not come may come with the next wave.
+    auto goal = ceiled(m_goal.add(wanted / m_settings.targetUse, now));
+    if (std::min(demand.observedFor, now - m_plannedSince) < m_settings.keepFor)
         goal = std::max(goal, m_initial);
+    const auto withMargin = ceiled(goal * (1 + kRiseMargin));
     if (goal > m_total) {
-        m_total = ceiled(goal * (1 + kRiseMargin));
+        m_total = withMargin;
         m_steppedAt = now;
         return;
     }
     const auto step = std::max(1U, static_cast<std::uint32_t>(m_total * m_settings.stepDown));
-    if (now - m_steppedAt < m_settings.stepInterval || goal + step > m_total)
+    if (now - m_steppedAt < m_settings.stepInterval || withMargin + step > m_total)
         return;
     m_total -= step;
     m_steppedAt = now;
@@ -120,8 +117,10 @@
 {
     CapacityGoal goal;
     goal.total = m_total;
-    goal.afterLoss = ceiled(m_total / (1 + reserve(view)));
-    goal.ordinary = ceiled(goal.afterLoss * m_settings.ordinaryShare);
+    goal.needed = ceiled(m_total / (1 + m_settings.waveReserve));
+    // Without a margin: the less urgent requests wait until the lost upstreams are replaced.
+    goal.afterLoss = ceiled(goal.needed * m_settings.targetUse);
+    goal.ordinary = ceiled(goal.needed * m_settings.ordinaryShare);
     std::vector<DomainOffer> offers;
     for (const auto &it : domains(view)) {
         const OrderSubject subject{it, UpstreamSort::Reclaimable};
--- a/modules/scaling/scaling_planner.h
+++ b/modules/scaling/scaling_planner.h
@@ -2,6 +2,7 @@
 
 #include "modules/routing/routing_config.h"
 #include "modules/scaling/demand_meter.h"
+#include "modules/scaling/peak_hold.h"
 #include "modules/scaling/scaling_types.h"
 
 #include <set>
@@ -48,7 +49,6 @@
     void lower(const UpstreamCounts &targets, const ScalingView &view);
     /** @return the upstreams of @p subject that take requests and are not to be given up. */
     std::uint32_t serving(const ScalingView &view, const OrderSubject &subject) const;
-    double reserve(const ScalingView &view) const;
     std::set<FailureDomain> domains(const ScalingView &view) const;
 
     ScalingSettings m_settings;
@@ -56,6 +56,8 @@
     std::uint32_t m_initial = 0;
     TimePoint m_grewAt{};
     std::uint32_t m_total = 0;
+    TimePoint m_plannedSince{};
+    PeakHold m_goal;
     TimePoint m_steppedAt{};
     UpstreamCounts m_desired;
 };
--- a/modules/scaling/scaling_types.h
+++ b/modules/scaling/scaling_types.h
@@ -54,14 +54,14 @@
 /** How much capacity is kept for callers. */
 struct ScalingSettings
 {
-    /** Share of the engines' time in use at which callers' objectives still hold. */
-    double targetUse = 0.7;
-    /** Demand, as a fraction of the highest recent one, that may come on top of it while ordered
-     * upstreams start; kept ready when reclaimable upstreams are on offer. */
-    double jumpReserve = 1.0;
-    /** The same when only ordinary upstreams are on offer. */
+    /** Share of the upstreams' capacity in use at which callers' objectives still hold. */
+    double targetUse = 0.6;
+    /** Rise above the highest recent demand that a wave may bring, as a fraction. */
     double waveReserve = 0.25;
-    /** Share of the capacity in need that ordinary upstreams always provide. */
+    /** Rise above the mean demand that may come while ordered upstreams start, as a fraction; kept
+     * ready when reclaimable upstreams are on offer. */
+    double jumpReserve = 1.0;
+    /** Share of the capacity without reserves that ordinary upstreams always provide. */
     double ordinaryShare = 0.25;
     /** Capacity is kept for the highest demand within this time. */
     Duration keepFor = seconds(20);
--- a/modules/scaling/tests/scaling_planner_test.cpp
+++ b/modules/scaling/tests/scaling_planner_test.cpp
@@ -87,7 +87,6 @@
     {
         ready[reclaimable(domain)] = 0;
         isDry.insert(domain);
-        orders.onReclaimed(domain, now);
     }
 
     std::uint32_t sum(UpstreamSort sort) const
@@ -132,6 +131,7 @@
 
     void order()
     {
+        orders.findReclaimed(ready, now);
         const auto without = orders.withoutReclaimable(now);
         const auto &desired = planner.plan({policy, ready, without, meter.estimate()}, now);
         for (const auto &it : orders.due(desired, ready, now)) {
--- a/servers/duties/scaling_service.cpp
+++ b/servers/duties/scaling_service.cpp
@@ -23,21 +23,6 @@
     return counts;
 }
 
-/** @return the failure domains whose reclaimable upstreams all leave. */
-std::set<FailureDomain> reclaimedDomains(const std::vector<UpstreamEntry> &entries)
-{
-    std::set<FailureDomain> leaving;
-    for (const auto &it : entries) {
-        if (it.reclaimable && it.draining && it.leavesIn)
-            leaving.insert(it.domain);
-    }
-    for (const auto &it : entries) {
-        if (it.reclaimable && !it.draining)
-            leaving.erase(it.domain);
-    }
-    return leaving;
-}
-
 } // namespace
 
 ScalingService::ScalingService(ScalingServiceParts parts, double callsPerSecond,
@@ -83,9 +68,10 @@
         state.planner.emplace(m_settings);
         state.orders.emplace(service.policy.startTime);
     }
-    for (const auto &it : reclaimedDomains(service.upstreams))
-        state.orders->onReclaimed(it, now);
     const auto ready = readyUpstreams(service.upstreams);
+    for (const auto &it : state.orders->findReclaimed(ready, now))
+        logEvent(LogLevel::Warning, "upstreams_reclaimed",
+                 {{"service", service.name}, {"domain", it.value}});
     const auto without = state.orders->withoutReclaimable(now);
     const auto &desired =
             state.planner->plan({service.policy, ready, without, state.meter.estimate()}, now);
@@ -111,6 +97,7 @@
               {"demand", demand.current},
               {"expected", demand.expected},
               {"peak", demand.peak},
+              {"mean", demand.mean},
               {"observed_ms", toMillis(demand.observedFor)},
               {"running", service.demand.running},
               {"held", service.demand.held},
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -155,7 +155,7 @@
         service.demand = {demand.requests, demand.tolerantTokens + demand.sensitiveTokens,
                           balancer.totalSentTokens(), balancer.totalRunning(),
                           static_cast<std::uint32_t>(context.holdQueue.size())};
-        service.rate.prefillTokens = it.engine ? balancer.prefillRate() : 0;
+        service.rate.prefillTokens = it.engine ? balancer.peakPrefillRate() : 0;
         if (it.engine && it.engine->slots > 0)
             service.rate.slots = it.engine->slots;
         else if (!service.upstreams.empty())
