--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,11 @@
 soak: build
 	@tools/soak.sh $(BUILD) $(FIRST) $(LAST) 3 --length $(LENGTH)
 
+# Lets crowds of misbehaving connections at gateway processes, one at a time.
+.PHONY: crowds
+crowds: build
+	@tools/crowds.sh $(BUILD)
+
 format:
 	@tools/format.sh
 
--- a/tests/soak/gateway_process_runner.cpp
+++ b/tests/soak/gateway_process_runner.cpp
@@ -17,11 +17,13 @@
 namespace hawthornslip::soak {
 
 GatewayProcessRunner::GatewayProcessRunner(std::string binary, std::string folder,
-                                           std::size_t index, GatewayPorts ports)
+                                           std::size_t index, GatewayPorts ports,
+                                           std::string moreSettings)
     : m_binary(std::move(binary))
     , m_folder(std::move(folder))
     , m_index(index)
     , m_ports(ports)
+    , m_moreSettings(std::move(moreSettings))
 {
     writeSettings();
 }
@@ -44,9 +46,9 @@
                         "[store]\naddress = \"127.0.0.1:{}\"\n"
                         "[keys]\nfail_closed = true\nrevoke_within_ms = 5000\n"
                         "[upstreams]\ndrain_within_ms = 2000\n"
-                        "[retries]\nratio = 0.2\nwindow_s = 10\n[stop]\ngrace_s = 8\n",
+                        "[retries]\nratio = 0.2\nwindow_s = 10\n[stop]\ngrace_s = 8\n{}",
                         m_index, m_ports.callers, m_ports.readiness, m_ports.metrics, m_ports.peers,
-                        m_ports.store);
+                        m_ports.store, m_moreSettings);
 }
 
 bool GatewayProcessRunner::start()
--- a/tests/soak/gateway_process_runner.h
+++ b/tests/soak/gateway_process_runner.h
@@ -22,9 +22,12 @@
 class GatewayProcessRunner
 {
 public:
-    /** @param folder for its settings and its log. */
+    /**
+     * @param folder for its settings and its log.
+     * @param moreSettings is appended to the settings file.
+     */
     GatewayProcessRunner(std::string binary, std::string folder, std::size_t index,
-                         GatewayPorts ports);
+                         GatewayPorts ports, std::string moreSettings = "");
     ~GatewayProcessRunner();
 
     /** Starts the process. @return false when it could not be started. */
@@ -36,6 +39,8 @@
     /** @return true while the process runs; takes note when it has ended. */
     bool isRunning();
 
+    /** @return the id of the process, 0 when it does not run. */
+    pid_t pid() const { return m_pid; }
     /** @return the status of the last end as wait() gives it. */
     int lastStatus() const { return m_lastStatus; }
     const GatewayPorts &ports() const { return m_ports; }
@@ -47,6 +52,7 @@
     std::string m_folder;
     std::size_t m_index;
     GatewayPorts m_ports;
+    std::string m_moreSettings;
     pid_t m_pid = 0;
     int m_lastStatus = 0;
 };
