Bound the memory that a process holds for callers and upstreams

Cause: nothing bounds bytes. Trailers and the lines of chunks have no end, bodies are bounded each but not together, a body is held three times on its way, buffers keep the size of their largest message, and slow readers and endless events add up. Change: ByteAccount sums what all connections of the loop hold (soft, large and hard bound: 1/4, 3/8 and 1/2 of limits.memory_mb, of 1 GiB when not named). Above soft a new body over 64 KiB is refused with 503, Retry-After and Connection: close; above large the connection with the most bytes and the least progress gives its bytes back: 503 while its request is being read, a close or a broken attempt otherwise. The space up to hard is for requests below 64 KiB. Trailers, extensions and header fields share the bound of the header bytes (431), also on the way from upstreams. One copy of a body, shared by all attempts. Large buffers are given back when empty, and mapped apart so that they return to the system. Gauge hawthornslip_held_bytes, counter hawthornslip_reclaimed_connections_total.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -4,7 +4,7 @@
 file(GLOB gateway_sources CONFIGURE_DEPENDS
     drivers/asio/*.cpp servers/state/*.cpp servers/gateway/*.cpp servers/peers/*.cpp servers/duties/*.cpp platform/*.cpp)
 list(APPEND gateway_sources drivers/prometheus/prometheus_metrics.cpp drivers/toml/gateway_settings_reader.cpp
-    drivers/toml/settings_keys.cpp drivers/toml/toml_document.cpp main/gateway_main.cpp main/duty_host.cpp main/gateway_process.cpp
+    drivers/toml/settings_keys.cpp drivers/toml/toml_document.cpp main/gateway_main.cpp main/duty_host.cpp main/memory_report.cpp main/gateway_process.cpp
     main/settings_watch.cpp     main/commands/gateway_command.cpp main/commands/command.cpp main/version.cpp)
 find_package(Protobuf REQUIRED)
 add_library(hawthornslip_proto STATIC proto/generated/gateway.pb.cc)
--- a/core/interfaces/http_server.h
+++ b/core/interfaces/http_server.h
@@ -33,6 +33,8 @@
     /** Header names are in lower case. */
     HttpHeaders headers;
     std::string body;
+    /** Keeps a large body charged to the memory of the process; may be empty. */
+    std::shared_ptr<void> bodyCharge = nullptr;
     /** `ip:port` of the client. */
     std::string clientAddress;
 
--- a/core/interfaces/upstream_client.h
+++ b/core/interfaces/upstream_client.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -19,6 +20,8 @@
     std::string url;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /** Sent instead of @c body when set; shared, so that a large body is not copied. */
+    std::shared_ptr<const std::string> sharedBody = nullptr;
     Duration connectTimeout = milliseconds(500);
     /** Longest wait for the first byte of the response body; zero means no limit. */
     Duration firstByteTimeout{0};
@@ -39,6 +42,12 @@
     std::string tag;
     /** Reuses a kept-alive connection only if it has been idle for less than this. */
     Duration reuseWithin = seconds(3600);
+
+    /** @return the body to send. */
+    std::string_view content() const
+    {
+        return sharedBody ? std::string_view(*sharedBody) : std::string_view(body);
+    }
 };
 
 /**
@@ -91,6 +100,9 @@
      */
     virtual bool onData(std::string_view piece) = 0;
 
+    /** @return bytes of the response that this handler still holds. */
+    virtual std::size_t heldBytes() const { return 0; }
+
     /** Called once, as the last callback. */
     virtual void onEnd(const UpstreamEnd &end) = 0;
 };
--- a/core/metric_names.h
+++ b/core/metric_names.h
@@ -26,6 +26,8 @@
 inline constexpr std::string_view kPeerMessages = "hawthornslip_peer_messages_total";
 inline constexpr std::string_view kClaims = "hawthornslip_claims_total";
 inline constexpr std::string_view kLeases = "hawthornslip_leases_total";
+inline constexpr std::string_view kHeldBytes = "hawthornslip_held_bytes";
+inline constexpr std::string_view kReclaims = "hawthornslip_reclaimed_connections_total";
 inline constexpr std::string_view kOrders = "hawthornslip_upstream_orders_total";
 
 /** The kind of a metric. */
@@ -39,7 +41,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<Info, 21> kAll = {{
+inline constexpr std::array<Info, 23> kAll = {{
         {kRequests, Kind::Counter, "Requests by profile, tier and result."},
         {kRefusals, Kind::Counter, "Refused or failed requests by reason and execution."},
         {kRetries, Kind::Counter, "Repeated attempts by profile and reason."},
@@ -61,6 +63,8 @@
         {kPeerMessages, Kind::Counter, "Messages to and from other nodes by direction and kind."},
         {kClaims, Kind::Counter, "Claims of idempotency keys by verdict."},
         {kLeases, Kind::Counter, "Lease operations by lease and result."},
+        {kHeldBytes, Kind::Gauge, "Bytes held for callers and upstreams."},
+        {kReclaims, Kind::Counter, "Connections ended because the process held too many bytes."},
         {kOrders, Kind::Counter, "Orders to upstreams by kind and result."},
 }};
 
--- a/drivers/asio/asio_event_loop.h
+++ b/drivers/asio/asio_event_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/interfaces/byte_ledger.h"
 #include "core/interfaces/event_loop.h"
 
 #include <boost/asio/io_context.hpp>
@@ -36,11 +37,21 @@
     /** A buffer for reads, shared as each read is consumed before the next one. */
     std::array<char, 64 << 10> &scratch() { return m_scratch; }
 
+    /**
+     * Charges the bytes of all connections on this loop to @p ledger, which outlives the loop. Set
+     * before the first connection.
+     */
+    void setByteLedger(ByteLedger &ledger) { m_byteLedger = &ledger; }
+    /** @return the ledger of the connections, nullptr when their bytes are not bounded. */
+    ByteLedger *byteLedger() const { return m_byteLedger; }
+
 private:
     void arm();
     void runDue();
     void onUnexpectedError(std::string_view error);
 
+    // Outlives the connections that the context destroys.
+    ByteLedger *m_byteLedger = nullptr;
     boost::asio::io_context m_context;
     boost::asio::steady_timer m_wakeUp;
     std::map<std::pair<TimePoint, TimerId>, Task> m_queue;
--- a/drivers/asio/http_message_parser.cpp
+++ b/drivers/asio/http_message_parser.cpp
@@ -34,8 +34,26 @@
         request.query = std::string(target.substr(mark + 1));
 }
 
-void RequestParser::on_field_impl(Field field, View name, View value, Error &)
+std::size_t RequestParser::heldBytes() const
 {
+    // The unused part of a large buffer takes no memory before it is written.
+    const std::size_t body = std::max<std::size_t>(
+            request.body.size(), std::min<std::size_t>(request.body.capacity(), kLargestReserve));
+    return m_fieldBytes + request.headers.capacity() * sizeof(HttpHeaders::value_type) + body;
+}
+
+void RequestParser::addFieldBytes(std::size_t bytes, Error &ec)
+{
+    m_fieldBytes += bytes;
+    if (m_fieldBytes > maxFieldBytes)
+        ec = http::error::header_limit;
+}
+
+void RequestParser::on_field_impl(Field field, View name, View value, Error &ec)
+{
+    addFieldBytes(name.size() + value.size(), ec);
+    if (ec)
+        return;
     if (field == Field::expect)
         expectsContinue = lowerCase(value) == "100-continue";
     request.headers.emplace_back(lowerCase(name), std::string(value));
@@ -45,6 +63,7 @@
 {
     if (length)
         request.body.reserve(std::min(*length, kLargestReserve));
+    m_announcedBytes = length.value_or(0);
 }
 
 bool RequestParser::isFramingClear() const
@@ -58,15 +77,29 @@
     return lengths <= 1;
 }
 
+void RequestParser::appendBody(View piece)
+{
+    // A caller that has sent this much is believed; the memory is not touched before the bytes
+    // come.
+    if (request.body.size() + piece.size() > request.body.capacity())
+        request.body.reserve(m_announcedBytes);
+    request.body.append(piece.data(), piece.size());
+}
+
 std::size_t RequestParser::on_body_impl(View body, Error &)
 {
-    request.body.append(body.data(), body.size());
+    appendBody(body);
     return body.size();
 }
 
+void RequestParser::on_chunk_header_impl(std::uint64_t, View extensions, Error &ec)
+{
+    addFieldBytes(extensions.size(), ec);
+}
+
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, View body, Error &)
 {
-    request.body.append(body.data(), body.size());
+    appendBody(body);
     return body.size();
 }
 
@@ -77,7 +110,9 @@
 
 void AnswerParser::on_field_impl(Field, View name, View value, Error &)
 {
-    headers.emplace_back(lowerCase(name), std::string(value));
+    // Trailers are not relayed.
+    if (!is_header_done())
+        headers.emplace_back(lowerCase(name), std::string(value));
 }
 
 std::size_t AnswerParser::on_body_impl(View piece, Error &)
--- a/drivers/asio/http_message_parser.h
+++ b/drivers/asio/http_message_parser.h
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -21,6 +23,12 @@
     /** 10 or 11. */
     int httpVersion = 11;
 
+    /** Total bytes that header fields, trailers and chunk extensions may have. */
+    std::size_t maxFieldBytes = SIZE_MAX;
+
+    /** @return bytes of memory that the request takes so far. */
+    std::size_t heldBytes() const;
+
     /** @return false when another server could see the end of the body at another place. */
     bool isFramingClear() const;
 
@@ -35,9 +43,15 @@
     void on_header_impl(Error &) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &ec) override;
     std::size_t on_body_impl(View body, Error &ec) override;
-    void on_chunk_header_impl(std::uint64_t, View, Error &) override {}
+    void on_chunk_header_impl(std::uint64_t size, View extensions, Error &ec) override;
     std::size_t on_chunk_body_impl(std::uint64_t remain, View body, Error &ec) override;
     void on_finish_impl(Error &) override {}
+
+    void addFieldBytes(std::size_t bytes, Error &ec);
+    void appendBody(View piece);
+
+    std::size_t m_fieldBytes = 0;
+    std::uint64_t m_announcedBytes = 0;
 };
 
 /** Reads one answer from bytes; the body is handed on as it comes. */
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -23,6 +23,13 @@
 constexpr std::size_t kMaxPipelined = 64 << 10;
 // How long a closing connection waits for the caller's end, so that no answer is lost by a reset.
 constexpr Duration kLinger = seconds(1);
+// A request below this size is small: it is read also while memory is short.
+constexpr std::size_t kSmallRequestBytes = 64 << 10;
+// Smaller bodies are charged to their connection.
+constexpr std::size_t kBodyChargedApart = 16 << 10;
+constexpr std::string_view kFullRetryAfter = "1";
+constexpr int kUnavailable = 503;
+constexpr int kHeadersTooLarge = 431;
 constexpr int kNoContent = 204;
 constexpr int kHttp11 = 11;
 constexpr int kBadRequest = 400;
@@ -89,6 +96,7 @@
 ServerConnection::ServerConnection(AsioHttpServer &server, boost::asio::ip::tcp::socket socket)
     : m_server(server)
     , m_socket(std::move(socket))
+    , m_charge(server.m_loop, *this)
 {}
 
 void ServerConnection::start(AsioHttpServer::Connections::iterator place)
@@ -108,6 +116,7 @@
     const bool isIncomplete =
             m_stage == Stage::Answering && m_endsWithClose && (!m_answerEnded || !m_out.empty());
     m_stage = Stage::Closed;
+    m_charge.set(0);
     m_server.m_loop.cancel(m_timer);
     error_code ec;
     if (isIncomplete)
@@ -122,7 +131,9 @@
     if (m_stage == Stage::Closed || m_stage == Stage::Closing)
         return;
     enter(Stage::Closing);
-    m_in.clear();
+    m_in = {};
+    m_parser.reset();
+    updateCharge();
     setDeadline(kLinger);
     if (!m_out.empty())
         return;
@@ -175,6 +186,8 @@
     m_in.append(scratch.data(), n);
     if (m_stage != Stage::Answering)
         parse();
+    trimBuffer(m_in);
+    updateCharge();
     if (m_in.size() < kMaxPipelined || m_stage != Stage::Answering)
         waitReadable();
 }
@@ -195,6 +208,8 @@
             m_parser->eager(true);
             m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
             m_parser->body_limit(limits.maxBodyBytes);
+            m_parser->maxFieldBytes = limits.maxHeaderBytes;
+            m_isBodyAdmitted = false;
             enter(Stage::ReadingHead);
             setDeadline(limits.headerTimeout);
         }
@@ -207,21 +222,51 @@
         }
         if (m_parser->is_header_done() && m_stage == Stage::ReadingHead)
             onHeaderDone();
+        if (m_stage == Stage::ReadingBody && !mayReadBody())
+            refuseFull();
+        if (!m_parser)
+            return;
         if (m_parser->is_done()) {
             dispatch();
             return;
         }
         if (m_stage == Stage::ReadingBody && n > 0)
             setDeadline(m_server.m_sink.limits().idleTimeout);
-        if (ec == http::error::need_more && n == 0)
+        if (ec == http::error::need_more && n == 0) {
+            refuseIfTooLong();
             return;
+        }
     }
 }
 
+bool ServerConnection::mayReadBody()
+{
+    const auto *ledger = m_server.m_loop.byteLedger();
+    if (m_isBodyAdmitted || ledger == nullptr || m_parser->is_done())
+        return true;
+    const auto announced = m_parser->content_length();
+    const std::size_t bytes =
+            std::max<std::size_t>(announced ? *announced : 0, m_parser->request.body.size());
+    if (bytes <= kSmallRequestBytes)
+        return true;
+    m_isBodyAdmitted = ledger->admits(bytes);
+    return m_isBodyAdmitted;
+}
+
+void ServerConnection::refuseIfTooLong()
+{
+    // What the parser leaves is the line of a chunk, or all trailers until their end.
+    if (m_stage != Stage::ReadingBody || m_in.size() <= m_server.m_sink.limits().maxHeaderBytes)
+        return;
+    refuse(kHeadersTooLarge, "trailers_or_chunk_line_too_large");
+}
+
 void ServerConnection::onHeaderDone()
 {
     enter(Stage::ReadingBody);
     setDeadline(m_server.m_sink.limits().idleTimeout);
+    if (!mayReadBody())
+        return;
     if (m_parser->expectsContinue && !m_parser->is_done())
         send("HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -239,7 +284,13 @@
     m_withoutBody = m_parser->request.method == "HEAD";
     m_answerEnded = false;
     m_endsWithClose = false;
+    m_requestBytes = m_parser->heldBytes();
     HttpRequest request = std::move(m_parser->request);
+    if (request.body.size() >= kBodyChargedApart) {
+        m_requestBytes -= std::min(m_requestBytes, request.body.size());
+        m_charge.set(m_in.capacity() + m_out.capacity() + m_requestBytes);
+        request.bodyCharge = holdBytes(m_server.m_loop, request.body.size());
+    }
     // A caller of an old version takes no chunks; its answers end with the connection.
     m_chunked = m_parser->httpVersion >= kHttp11;
     m_parser.reset();
@@ -268,19 +319,25 @@
 {
     m_server.m_sink.onBadInput(status, cause);
     const std::string body = fmt::format(R"({{"error":"{}"}})", cause);
+    HttpHeaders headers = {{"Content-Type", "application/json"},
+                           {"Content-Length", std::to_string(body.size())},
+                           {"Connection", "close"}};
+    if (status == kUnavailable)
+        headers.emplace_back("Retry-After", kFullRetryAfter);
     std::string answer;
-    appendAnswerHead(answer, status,
-                     {{"Content-Type", "application/json"},
-                      {"Content-Length", std::to_string(body.size())},
-                      {"Connection", "close"}});
+    appendAnswerHead(answer, status, headers);
     send(answer + "\r\n" + body);
     closeGracefully();
 }
 
+void ServerConnection::refuseFull()
+{
+    refuse(kUnavailable, "memory_full");
+}
+
 void ServerConnection::onParseError(const RequestParser::Error &ec)
 {
     constexpr int kTooLarge = 413;
-    constexpr int kHeadersTooLarge = 431;
     if (ec == http::error::header_limit)
         refuse(kHeadersTooLarge, "headers_too_large");
     else if (ec == http::error::body_limit)
@@ -323,6 +380,7 @@
 {
     m_answerEnded = true;
     m_events.reset();
+    m_requestBytes = 0;
     if (m_chunked && !m_withoutBody)
         send("0\r\n\r\n");
     if (m_stage == Stage::Answering && m_out.empty())
@@ -336,6 +394,7 @@
         return;
     }
     enter(Stage::Idle);
+    updateCharge();
     setDeadline(m_server.m_sink.limits().idleTimeout);
     waitReadable();
     if (!m_in.empty()) {
@@ -364,6 +423,7 @@
     if (bytes.empty())
         return;
     m_out += bytes;
+    updateCharge();
     flush();
 }
 
@@ -385,6 +445,8 @@
                                 return;
                             }
                             self->m_out.erase(0, ec ? 0 : n);
+                            trimBuffer(self->m_out);
+                            self->updateCharge();
                             if (self->m_out.empty())
                                 self->onFlushed();
                             else
@@ -412,6 +474,29 @@
     }
 }
 
+void ServerConnection::reclaimBytes()
+{
+    boost::asio::post(m_server.m_loop.context(),
+                      [self = shared_from_this()] { self->giveBytesBack(); });
+}
+
+void ServerConnection::giveBytesBack()
+{
+    logEvent(LogLevel::Warning, "memory_reclaimed", {{"bytes", m_in.size() + m_out.size()}});
+    // The request that is being read has not run, so its caller can be told so.
+    if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
+        refuseFull();
+    else
+        close();
+}
+
+void ServerConnection::updateCharge()
+{
+    if (m_stage != Stage::Closed)
+        m_charge.set(m_in.capacity() + m_out.capacity() + m_requestBytes +
+                     (m_parser ? m_parser->heldBytes() : 0));
+}
+
 void ServerConnection::enter(Stage stage)
 {
     const bool wasBusy = m_stage == Stage::Answering;
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "drivers/asio/asio_http_server.h"
+#include "drivers/asio/byte_charge.h"
 #include "drivers/asio/http_message_parser.h"
 
 #include <memory>
@@ -10,7 +11,7 @@
 namespace hawthornslip {
 
 /** One connection of a caller: reads requests in turn and writes their answers. */
-class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+class ServerConnection : public ByteHolder, public std::enable_shared_from_this<ServerConnection>
 {
 public:
     ServerConnection(AsioHttpServer &server, boost::asio::ip::tcp::socket socket);
@@ -27,6 +28,8 @@
     /** Closes the connection gracefully if no byte of a request has arrived. */
     void closeIfIdle();
 
+    void reclaimBytes() override;
+
 private:
     class Answer;
 
@@ -38,9 +41,12 @@
     void onPeerClosed();
     void parse();
     void onHeaderDone();
+    bool mayReadBody();
+    void refuseIfTooLong();
     void dispatch();
     std::shared_ptr<CallerEvents> handle(HttpRequest request);
     void refuse(int status, std::string_view cause);
+    void refuseFull();
     void onParseError(const RequestParser::Error &ec);
 
     void beginAnswer(int status, const HttpHeaders &headers, std::optional<std::size_t> length);
@@ -50,6 +56,8 @@
     void flush();
     void onWriteFailed();
     void onFlushed();
+    void giveBytesBack();
+    void updateCharge();
     void finishRequest();
 
     void enter(Stage stage);
@@ -67,6 +75,11 @@
     std::unique_ptr<RequestParser> m_parser;
 
     std::string m_out;
+    ByteCharge m_charge;
+    /** Bytes of the request being answered that are not charged with its body. */
+    std::size_t m_requestBytes = 0;
+    /** The large body that is being read was admitted. */
+    bool m_isBodyAdmitted = false;
     std::shared_ptr<CallerEvents> m_events;
     /** Counts requests, so that a late call for an earlier one does nothing. */
     std::uint64_t m_request = 0;
--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -30,8 +31,12 @@
 // Bytes before the answer, such as interim answers and late copies of earlier answers. A copy is as
 // long as an answer; more than this is a faulty upstream.
 constexpr std::size_t kMaxDiscardedBytes = 512 << 10;
-// Unparsed bytes of a head, a chunk header or trailers.
+// Bytes that were read and not yet taken.
 constexpr std::size_t kMaxUnparsedBytes = 192 << 10;
+// Unfinished line of a chunk, or unfinished trailers.
+constexpr std::size_t kMaxUnfinishedBytes = 16 << 10;
+// A smaller body is sent in one buffer with its head.
+constexpr std::size_t kLargeBodyBytes = 16 << 10;
 
 } // namespace
 
@@ -39,6 +44,7 @@
     : m_client(client)
     , m_address(std::move(address))
     , m_socket(client.m_loop.context())
+    , m_charge(client.m_loop, *this)
 {}
 
 std::uint64_t UpstreamConnection::start(UpstreamRequest request, std::string target,
@@ -82,6 +88,7 @@
     const auto self = shared_from_this();
     if (deliverBody())
         onBytes();
+    updateCharge();
     waitReadable();
 }
 
@@ -128,17 +135,23 @@
     fmt::format_to(out, "{} {} HTTP/1.1\r\n", m_request.method, target);
     for (const auto &[name, value] : m_request.headers)
         fmt::format_to(out, "{}: {}\r\n", name, value);
-    if (!m_request.body.empty() || (m_request.method != "GET" && m_request.method != "HEAD"))
-        fmt::format_to(out, "Content-Length: {}\r\n", m_request.body.size());
+    const std::string_view body = m_request.content();
+    if (!body.empty() || (m_request.method != "GET" && m_request.method != "HEAD"))
+        fmt::format_to(out, "Content-Length: {}\r\n", body.size());
     m_out += "\r\n";
-    m_out += m_request.body;
+    m_largeBody = body.size() >= kLargeBodyBytes ? body : std::string_view();
+    if (m_largeBody.empty())
+        m_out += body;
 }
 
 void UpstreamConnection::writeMessage()
 {
     error_code ec;
-    const auto rest = boost::asio::buffer(m_out) + m_written;
-    const std::size_t n = rest.size() == 0 ? 0 : m_socket.write_some(rest, ec);
+    const std::size_t size = m_out.size() + m_largeBody.size();
+    const std::array<boost::asio::const_buffer, 2> rest = {
+            boost::asio::buffer(m_out) + m_written,
+            boost::asio::buffer(m_largeBody) + (m_written - std::min(m_written, m_out.size()))};
+    const std::size_t n = m_written == size ? 0 : m_socket.write_some(rest, ec);
     if (ec && ec != boost::asio::error::would_block) {
         // An early answer may be there to read although the back end takes no more of the body.
         waitReadable();
@@ -147,7 +160,7 @@
     }
     m_written += ec ? 0 : n;
     waitReadable();
-    if (m_written == m_out.size())
+    if (m_written == size)
         return;
     m_socket.async_wait(boost::asio::socket_base::wait_write,
                         [self = shared_from_this(), call = m_call](const error_code &error) {
@@ -208,6 +221,8 @@
     }
     m_in.append(scratch.data(), n);
     onBytes();
+    trimBuffer(m_in);
+    updateCharge();
     waitReadable();
 }
 
@@ -238,7 +253,8 @@
         finish(UpstreamResult::Broken, ec.message());
         return false;
     }
-    if (!isWithinLimits(n)) {
+    const bool isUnfinished = n == 0 && m_parser->is_header_done();
+    if (!isWithinLimits(n) || (isUnfinished && m_in.size() > kMaxUnfinishedBytes)) {
         finish(UpstreamResult::Broken, "too many bytes outside the answer");
         return false;
     }
@@ -308,7 +324,8 @@
 void UpstreamConnection::onAnswerDone()
 {
     // If an answer does not name its request, a second copy could not be told from the next answer.
-    const bool reusable = !m_closing && m_isNamed && m_in.empty() && m_written == m_out.size();
+    const bool reusable = !m_closing && m_isNamed && m_in.empty() &&
+                          m_written == m_out.size() + m_largeBody.size();
     if (!m_in.empty())
         logEvent(LogLevel::Info, "extra_bytes_dropped",
                  {{"upstream", m_address}, {"bytes", m_in.size()}});
@@ -321,6 +338,8 @@
     const auto handler = std::exchange(m_handler, nullptr);
     const int status = m_parser->status;
     m_out.clear();
+    m_largeBody = {};
+    m_charge.set(0);
     m_isReused = true;
     m_lastTag = std::move(m_request.tag);
     m_request = UpstreamRequest{};
@@ -404,9 +423,31 @@
         handler->onEnd({result, status, std::move(message), closing, m_endedByClose});
 }
 
+void UpstreamConnection::reclaimBytes()
+{
+    boost::asio::post(m_client.m_loop.context(), [self = shared_from_this(), call = m_call] {
+        if (call == self->m_call && self->m_handler)
+            self->finish(UpstreamResult::Broken, "memory is full");
+        else if (!self->m_handler)
+            self->m_charge.set(0);
+    });
+}
+
+void UpstreamConnection::updateCharge()
+{
+    if (m_handler)
+        m_charge.set(m_in.capacity() + m_out.capacity() + m_parser->body.capacity() +
+                     m_handler->heldBytes());
+}
+
 void UpstreamConnection::shut()
 {
     m_closed = true;
+    m_charge.set(0);
+    m_in = {};
+    m_out = {};
+    m_largeBody = {};
+    m_request.sharedBody.reset();
     m_client.m_loop.cancel(std::exchange(m_connectTimer, 0));
     m_client.m_loop.cancel(std::exchange(m_totalTimer, 0));
     error_code ec;
--- a/drivers/asio/upstream_connection.h
+++ b/drivers/asio/upstream_connection.h
@@ -2,6 +2,7 @@
 
 #include "core/interfaces/upstream_client.h"
 #include "drivers/asio/asio_upstream_client.h"
+#include "drivers/asio/byte_charge.h"
 #include "drivers/asio/http_message_parser.h"
 
 #include <memory>
@@ -10,7 +11,8 @@
 namespace hawthornslip {
 
 /** One connection to a back end, which serves one call at a time. */
-class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
+class UpstreamConnection : public ByteHolder,
+                           public std::enable_shared_from_this<UpstreamConnection>
 {
 public:
     UpstreamConnection(AsioUpstreamClient &client, std::string address);
@@ -35,6 +37,8 @@
      */
     bool mayServe(const std::string &tag);
 
+    void reclaimBytes() override;
+
     const std::string &address() const { return m_address; }
     /** @return when the last call ended. */
     TimePoint idleSince() const { return m_idleSince; }
@@ -64,6 +68,7 @@
     void resetParser();
     void finish(UpstreamResult result, std::string message);
     void shut();
+    void updateCharge();
 
     AsioUpstreamClient &m_client;
     std::string m_address;
@@ -75,7 +80,11 @@
     std::uint64_t m_call = 0;
     UpstreamRequest m_request;
     std::shared_ptr<UpstreamHandler> m_handler;
+    ByteCharge m_charge;
+    /** Head of the request, with its body if that is small. */
     std::string m_out;
+    /** A large body, sent after @c m_out. */
+    std::string_view m_largeBody;
     std::size_t m_written = 0;
     TimerId m_connectTimer = 0;
     TimerId m_totalTimer = 0;
--- a/drivers/http/curl_transfer.cpp
+++ b/drivers/http/curl_transfer.cpp
@@ -61,10 +61,10 @@
     curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
     if (m_request.method == "HEAD")
         curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
-    if (!m_request.body.empty() || m_request.method == "POST" || m_request.method == "PUT") {
+    if (!m_request.content().empty() || m_request.method == "POST" || m_request.method == "PUT") {
         curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(m_request.body.size()));
-        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.c_str());
+                         static_cast<curl_off_t>(m_request.content().size()));
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.content().data());
     }
     if (m_request.sendOnce) {
         // libcurl repeats a request whose kept-alive connection closed without an answer, but
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -122,6 +122,7 @@
 GatewayProcess::GatewayProcess(const GatewaySettings &settings, SettingsWatch watch)
     : m_settings(settings)
     , m_watch(std::move(watch))
+    , m_memory(settings.memoryMb)
     , m_client(m_loop, kAckTimeout)
     , m_storeClient(m_loop, kAckTimeout)
     , m_probe(m_loop, kAckTimeout)
@@ -157,6 +158,8 @@
 bool GatewayProcess::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    mapLargeBuffers();
+    m_loop.setByteLedger(m_memory.account());
     if (!m_callerServer.start(m_settings.callers) ||
         !m_readinessServer.start(m_settings.readiness) ||
         !m_metricsServer.start(m_settings.metrics) || !m_transport.start(m_settings.peers) ||
@@ -392,6 +395,7 @@
     continueStop();
     updateReaderPace();
     pollSettings();
+    m_memory.write(m_metrics);
     flushLog();
     m_loop.after(kTickInterval, [this] { tick(); });
 }
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -9,6 +9,7 @@
 #include "drivers/asio/udp_peer_transport.h"
 #include "drivers/prometheus/prometheus_metrics.h"
 #include "main/duty_host.h"
+#include "main/memory_report.h"
 #include "main/settings_watch.h"
 #include "main/status_sink.h"
 #include "modules/peers/state_readers.h"
@@ -62,6 +63,8 @@
     GatewaySettings m_settings;
     SettingsWatch m_watch;
     TimePoint m_settingsReadAt{};
+    // Outlives the connections of the loop.
+    MemoryReport m_memory;
     AsioEventLoop m_loop;
     PrometheusMetrics m_metrics;
     platform::WireHeaders m_dialect;
--- /dev/null
+++ b/main/memory_report.cpp
@@ -0,0 +1,33 @@
+#include "main/memory_report.h"
+
+#include "core/metric_names.h"
+
+#include <malloc.h>
+
+#include <utility>
+
+namespace hawthornslip {
+
+namespace {
+
+constexpr int kMappedBytes = 128 << 10;
+
+} // namespace
+
+void mapLargeBuffers()
+{
+#ifdef M_MMAP_THRESHOLD
+    mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+#endif
+}
+
+void MemoryReport::write(Metrics &metrics)
+{
+    metrics.gauge(metric::kHeldBytes, {}, static_cast<double>(m_account.total()));
+    const std::uint64_t reclaimed = m_account.reclaimed();
+    const std::uint64_t added = reclaimed - std::exchange(m_reportedReclaims, reclaimed);
+    if (added > 0)
+        metrics.count(metric::kReclaims, {}, static_cast<double>(added));
+}
+
+} // namespace hawthornslip
--- a/servers/gateway/answer_relay.h
+++ b/servers/gateway/answer_relay.h
@@ -72,6 +72,12 @@
      */
     bool isTooLong() const;
 
+    /** @return bytes of the current attempt's answer that are buffered here. */
+    std::size_t heldBytes() const
+    {
+        return m_body.capacity() + m_splitter.pending() + m_lastEvent.capacity();
+    }
+
     /** @return the HTTP status for the caller. */
     int status() const { return m_status; }
     /** @return the HTTP status of the current attempt's answer, 0 before it arrives. */
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -30,6 +30,22 @@
     return type != nullptr && type->starts_with(kEventStream);
 }
 
+/** Takes the body of @p request with its charge. @return nullptr without a body. */
+std::shared_ptr<const std::string> shareBody(HttpRequest &request)
+{
+    struct SharedBody
+    {
+        std::string text;
+        std::shared_ptr<void> charge;
+    };
+    if (request.body.empty())
+        return nullptr;
+    auto body = std::make_shared<SharedBody>(
+            SharedBody{std::move(request.body), std::move(request.bodyCharge)});
+    const std::string *text = &body->text;
+    return {std::move(body), text};
+}
+
 } // namespace
 
 /** Passes the answer of one attempt to the exchange while that attempt is the current one. */
@@ -53,6 +69,11 @@
         return !isCurrent() || m_exchange->onPiece(piece);
     }
 
+    std::size_t heldBytes() const override
+    {
+        return isCurrent() ? m_exchange->m_relay.heldBytes() : 0;
+    }
+
     void onEnd(const UpstreamEnd &end) override
     {
         if (isCurrent())
@@ -69,6 +90,7 @@
 Exchange::Exchange(Gateway &gateway, HttpRequest request, std::shared_ptr<ResponseWriter> writer)
     : m_gateway(gateway)
     , m_request(std::move(request))
+    , m_body(shareBody(m_request))
     , m_relay(gateway.parts().loop, std::move(writer))
     , m_meta(gateway.parts().dialect.readRequest(m_request.headers))
     , m_arrivedAt(gateway.parts().loop.now())
@@ -235,7 +257,7 @@
     const std::uint64_t number = ++m_attemptNumber;
     m_call = m_gateway.parts().client.send(
             makeUpstreamRequest(m_request, placement.upstream, forwardMeta(),
-                                m_gateway.parts().dialect, m_meta.requestId),
+                                m_gateway.parts().dialect, m_meta.requestId, m_body),
             std::make_shared<Attempt>(shared_from_this(), number));
 }
 
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -84,6 +84,8 @@
 
     Gateway &m_gateway;
     HttpRequest m_request;
+    /** The body of the request, one copy for all attempts. */
+    std::shared_ptr<const std::string> m_body;
     AnswerRelay m_relay;
     RequestMeta m_meta;
     TimePoint m_arrivedAt;
--- a/servers/gateway/forwarding.cpp
+++ b/servers/gateway/forwarding.cpp
@@ -3,6 +3,7 @@
 #include "core/ascii.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornslip {
 
@@ -44,7 +45,8 @@
 
 UpstreamRequest makeUpstreamRequest(const HttpRequest &request, const UpstreamEntry &upstream,
                                     ForwardMeta meta, const WireDialect &dialect,
-                                    const std::string &requestId)
+                                    const std::string &requestId,
+                                    std::shared_ptr<const std::string> body)
 {
     UpstreamRequest result;
     result.method = request.method;
@@ -54,7 +56,7 @@
     result.headers = forwardedHeaders(request.headers, dialect);
     meta.expectedUpstream = upstream.id.value;
     dialect.writeForward(meta, result.headers);
-    result.body = request.body;
+    result.sharedBody = std::move(body);
     result.connectTimeout = kConnectTimeout;
     // No timeout here: the exchange cancels the call when the caller's deadline expires.
     result.totalTimeout = Duration(0);
--- a/servers/gateway/forwarding.h
+++ b/servers/gateway/forwarding.h
@@ -12,9 +12,11 @@
  *
  * @param meta the values that the router adds; the expected upstream is filled in here.
  * @param requestId the id that the upstream's answer must repeat.
+ * @param body the body of the request; nullptr without one.
  */
 UpstreamRequest makeUpstreamRequest(const HttpRequest &request, const UpstreamEntry &upstream,
                                     ForwardMeta meta, const WireDialect &dialect,
-                                    const std::string &requestId);
+                                    const std::string &requestId,
+                                    std::shared_ptr<const std::string> body);
 
 } // namespace hawthornslip
