--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -55,7 +55,7 @@
 add_executable(bench_path ${bench_path_sources})
 target_link_libraries(bench_path PRIVATE hawthornslip_servers hawthornslip_drivers)
 
-hawthornslip_test_program(drivers standin_lib)
+hawthornslip_test_program(drivers standin_lib hawthornslip_modules)
 hawthornslip_test_program(servers hawthornslip_drivers standin_lib)
 hawthornslip_test_program(platform hawthornslip_drivers)
 hawthornslip_test_program(main standin_lib bench_lib)
--- a/drivers/asio/byte_charge.h
+++ b/drivers/asio/byte_charge.h
@@ -21,6 +21,9 @@
     /** Replaces the charge by @p bytes, rounded down to whole steps. */
     void set(std::size_t bytes);
 
+    /** @return the bytes that are charged at present. */
+    std::size_t bytes() const { return m_charged; }
+
 private:
     AsioEventLoop &m_loop;
     ByteHolder &m_holder;
--- a/tests/fuzz/http_message_fuzz.cpp
+++ b/tests/fuzz/http_message_fuzz.cpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <string_view>
 
 namespace {
@@ -24,6 +25,18 @@
     }
 }
 
+constexpr std::size_t kMaxFieldBytes = 16 << 10;
+
+/** Ends the program when a request holds more than it states, or more fields than it may. */
+void checkHeldBytes(const hawthornslip::RequestParser &parser)
+{
+    std::size_t fields = 0;
+    for (const auto &[name, value] : parser.request.headers)
+        fields += name.size() + value.size();
+    if (fields > kMaxFieldBytes || fields + parser.request.body.size() > parser.heldBytes())
+        std::abort();
+}
+
 } // namespace
 
 /** Reads arbitrary bytes as a request, as an answer and as a stream of events. */
@@ -32,7 +45,9 @@
     using namespace hawthornslip; // NOLINT(google-build-using-namespace)
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
     RequestParser request;
+    request.maxFieldBytes = kMaxFieldBytes;
     feed(request, bytes);
+    checkHeldBytes(request);
     static_cast<void>(request.isFramingClear());
     static_cast<void>(platform::WireHeaders().readRequest(request.request.headers));
     AnswerParser answer;
