--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -1,19 +1,16 @@
 #include "drivers/asio/upstream_connection.h"
 
 #include "core/logger.h"
-#include "drivers/asio/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
-#include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <cerrno>
 #include <charconv>
 #include <exception>
-#include <iterator>
 #include <utility>
 
 namespace hawthornslip {
@@ -30,8 +27,10 @@
 // Bytes before the answer, such as interim answers and late copies of earlier answers. A copy is as
 // long as an answer; more than this is a faulty upstream.
 constexpr std::size_t kMaxDiscardedBytes = 512 << 10;
-// Unparsed bytes of a head, a chunk header or trailers.
+// Bytes that were read and not yet taken.
 constexpr std::size_t kMaxUnparsedBytes = 192 << 10;
+// Unfinished line of a chunk, or unfinished trailers.
+constexpr std::size_t kMaxUnfinishedBytes = 16 << 10;
 
 } // namespace
 
@@ -39,6 +38,7 @@
     : m_client(client)
     , m_address(std::move(address))
     , m_socket(client.m_loop.context())
+    , m_charge(client.m_loop, *this)
 {}
 
 std::uint64_t UpstreamConnection::start(UpstreamRequest request, std::string target,
@@ -82,6 +82,7 @@
     const auto self = shared_from_this();
     if (deliverBody())
         onBytes();
+    updateCharge();
     waitReadable();
 }
 
@@ -91,71 +92,6 @@
     m_client.drop(shared_from_this());
 }
 
-void UpstreamConnection::connect()
-{
-    const auto endpoint = parseEndpoint(m_address);
-    error_code ec;
-    m_socket.open(boost::asio::ip::tcp::v4(), ec);
-    if (ec || endpoint.port() == 0) {
-        const std::string message = ec ? ec.message() : "no valid address";
-        boost::asio::post(m_client.m_loop.context(), [self = shared_from_this(), message] {
-            self->finish(UpstreamResult::ConnectFailed, message);
-        });
-        return;
-    }
-    configureSocket(m_socket, m_client.m_silence);
-    m_socket.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
-        if (self->m_closed)
-            return;
-        if (error)
-            self->finish(UpstreamResult::ConnectFailed, error.message());
-        else
-            self->onConnected();
-    });
-}
-
-void UpstreamConnection::onConnected()
-{
-    m_connected = true;
-    m_client.m_loop.cancel(std::exchange(m_connectTimer, 0));
-    writeMessage();
-}
-
-void UpstreamConnection::buildMessage(const std::string &target)
-{
-    m_out.clear();
-    auto out = std::back_inserter(m_out);
-    fmt::format_to(out, "{} {} HTTP/1.1\r\n", m_request.method, target);
-    for (const auto &[name, value] : m_request.headers)
-        fmt::format_to(out, "{}: {}\r\n", name, value);
-    if (!m_request.body.empty() || (m_request.method != "GET" && m_request.method != "HEAD"))
-        fmt::format_to(out, "Content-Length: {}\r\n", m_request.body.size());
-    m_out += "\r\n";
-    m_out += m_request.body;
-}
-
-void UpstreamConnection::writeMessage()
-{
-    error_code ec;
-    const auto rest = boost::asio::buffer(m_out) + m_written;
-    const std::size_t n = rest.size() == 0 ? 0 : m_socket.write_some(rest, ec);
-    if (ec && ec != boost::asio::error::would_block) {
-        // An early answer may be there to read although the back end takes no more of the body.
-        waitReadable();
-        m_closing = true;
-        return;
-    }
-    m_written += ec ? 0 : n;
-    waitReadable();
-    if (m_written == m_out.size())
-        return;
-    m_socket.async_wait(boost::asio::socket_base::wait_write,
-                        [self = shared_from_this(), call = m_call](const error_code &error) {
-                            if (!error && call == self->m_call && self->m_handler)
-                                self->writeMessage();
-                        });
-}
-
 void UpstreamConnection::armTimers()
 {
     const std::uint64_t number = m_call + 1;
@@ -208,6 +144,8 @@
     }
     m_in.append(scratch.data(), n);
     onBytes();
+    trimBuffer(m_in);
+    updateCharge();
     waitReadable();
 }
 
@@ -238,7 +176,8 @@
         finish(UpstreamResult::Broken, ec.message());
         return false;
     }
-    if (!isWithinLimits(n)) {
+    const bool isUnfinished = n == 0 && m_parser->is_header_done();
+    if (!isWithinLimits(n) || (isUnfinished && m_in.size() > kMaxUnfinishedBytes)) {
         finish(UpstreamResult::Broken, "too many bytes outside the answer");
         return false;
     }
@@ -308,7 +247,8 @@
 void UpstreamConnection::onAnswerDone()
 {
     // If an answer does not name its request, a second copy could not be told from the next answer.
-    const bool reusable = !m_closing && m_isNamed && m_in.empty() && m_written == m_out.size();
+    const bool reusable = !m_closing && m_isNamed && m_in.empty() &&
+                          m_written == m_out.size() + m_largeBody.size();
     if (!m_in.empty())
         logEvent(LogLevel::Info, "extra_bytes_dropped",
                  {{"upstream", m_address}, {"bytes", m_in.size()}});
@@ -321,6 +261,8 @@
     const auto handler = std::exchange(m_handler, nullptr);
     const int status = m_parser->status;
     m_out.clear();
+    m_largeBody = {};
+    m_charge.set(0);
     m_isReused = true;
     m_lastTag = std::move(m_request.tag);
     m_request = UpstreamRequest{};
@@ -404,9 +346,31 @@
         handler->onEnd({result, status, std::move(message), closing, m_endedByClose});
 }
 
+void UpstreamConnection::reclaimBytes()
+{
+    boost::asio::post(m_client.m_loop.context(), [self = shared_from_this(), call = m_call] {
+        if (call == self->m_call && self->m_handler)
+            self->finish(UpstreamResult::Broken, "memory is full");
+        else if (!self->m_handler)
+            self->m_charge.set(0);
+    });
+}
+
+void UpstreamConnection::updateCharge()
+{
+    if (m_handler)
+        m_charge.set(m_in.capacity() + m_out.capacity() + m_parser->body.capacity() +
+                     m_handler->heldBytes());
+}
+
 void UpstreamConnection::shut()
 {
     m_closed = true;
+    m_charge.set(0);
+    m_in = {};
+    m_out = {};
+    m_largeBody = {};
+    m_request.sharedBody.reset();
     m_client.m_loop.cancel(std::exchange(m_connectTimer, 0));
     m_client.m_loop.cancel(std::exchange(m_totalTimer, 0));
     error_code ec;
