Learn the speed of each engine and share it with peers

Cause: all engines of a service shared one estimate of their prefill rate, so that an engine that takes three times as long got as many prompts as the others.

Change: FirstEventReference compares each time to first event with those of requests in the same situation (length, occupancy, cached prefix, without the distance of the failure domain). EngineSpeed turns the relative times of this node and of its peers into a speed factor: exactly 1 until a difference is clear, moved within a few events by a clear change, back to 1 without evidence or after a restart. Waits, prefill times and the cost of a choice follow it. The observations travel as two sums with the load of the engine (6 bytes at most for 120 samples) and are left out while unchanged; a changed speed alone causes no report.

--- a/modules/balancing/balancing_types.h
+++ b/modules/balancing/balancing_types.h
@@ -2,10 +2,12 @@
 
 #include "core/time.h"
 #include "modules/balancing/engine_partition.h"
+#include "modules/balancing/engine_speed.h"
 #include "modules/balancing/prefill_queue.h"
 #include "modules/upstreams/upstream_directory.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 /** Data types for balancing requests over the upstreams of a service. */
@@ -36,6 +38,8 @@
     Duration prefillTime{0};
     /** Expected number of prompt tokens that are not in the prefix cache of the engine. */
     double prefillTokens = 0;
+    /** Expected number of prompt tokens that the engine prefills before this prompt. */
+    double tokensBefore = 0;
     /** The engine belongs to the partition for the other PauseTolerance. */
     bool isOutsidePartition = false;
     /** Rank among the upstreams that the shared prefix prefers, from 0; kPreferredCount if none. */
@@ -47,6 +51,8 @@
     PauseTolerance tolerance = PauseTolerance::Sensitive;
     /** Fraction of the upstreams in the request's partition without a free slot, from 0 to 1. */
     double fullFraction = 0;
+    /** Fraction of the upstream's slots in use before the request, from 0. */
+    double occupancy = 0;
     /** Address of another upstream that probably caches the shared prefix; empty without one. */
     std::string kvSourceAddress;
 };
@@ -74,6 +80,8 @@
     std::uint32_t sensitive = 0;
     /** Prompt tokens to prefill that were sent since the node started. */
     TokensByUrgency<std::uint64_t> promptTokens{};
+    /** Observations of the upstream's speed; nothing in a report that leaves them unchanged. */
+    std::optional<EngineSpeedSums> speed = std::nullopt;
 
     bool operator==(const NodeLoad &) const = default;
 };
@@ -85,6 +93,7 @@
     std::int64_t running = 0;
     std::int64_t sensitive = 0;
     TokensByUrgency<std::uint64_t> promptTokens{};
+    EngineSpeedSums speed = {};
 };
 
 /** All requests that one node got since it started. */
--- a/modules/balancing/prefill_queue.cpp
+++ b/modules/balancing/prefill_queue.cpp
@@ -41,13 +41,18 @@
     m_updatedAt = now;
 }
 
-Duration PrefillQueue::wait(std::size_t urgency, TimePoint now) const
+double PrefillQueue::tokensBefore(std::size_t urgency, TimePoint now) const
 {
     const auto left = drainedAt(now);
     double before = 0;
     for (std::size_t i = 0; i <= std::min(urgency, kUrgencyLevels - 1); ++i)
         before += left[i];
-    const double waitSeconds = before / (m_tokensPerSecond * kPrefillShare);
+    return before;
+}
+
+Duration PrefillQueue::wait(std::size_t urgency, TimePoint now) const
+{
+    const double waitSeconds = tokensBefore(urgency, now) / (m_tokensPerSecond * kPrefillShare);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(waitSeconds));
 }
 
--- a/modules/balancing/prefill_queue.h
+++ b/modules/balancing/prefill_queue.h
@@ -29,6 +29,9 @@
     /** Records that a prompt with @p tokens to prefill was sent to the engine. */
     void add(std::size_t urgency, double tokens, TimePoint now);
 
+    /** @return the tokens that the engine prefills before those of a prompt that is sent now. */
+    double tokensBefore(std::size_t urgency, TimePoint now) const;
+
     /** @return how long a prompt that is sent now waits before its prefill starts. */
     Duration wait(std::size_t urgency, TimePoint now) const;
 
--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -30,6 +30,8 @@
         auto &state = m_states[it.id];
         if (state.entry.address != it.address)
             state = State{};
+        else if (state.entry.bornMs != 0 && state.entry.bornMs != it.bornMs)
+            resetSpeed(state);
         state.entry = it;
         state.hash = rendezvousMemberHash(it.id.value);
         const auto peers = m_peers.find(state.hash);
@@ -85,17 +87,53 @@
         state.permits->onSent(m_share.value(now), now);
 }
 
-void ServiceBalancer::onFirstEvent(const RequestPlacement &placement, Duration timeToFirstEvent)
+void ServiceBalancer::onFirstEvent(const RequestPlacement &placement, Duration timeToFirstEvent,
+                                   TimePoint now)
 {
     // Only a prompt that did not wait for others measures the prefill rate.
     constexpr Duration kIdleWait = milliseconds(10);
-    if (placement.wait >= kIdleWait)
-        return;
-    m_rate.observe(placement.prefillTokens, timeToFirstEvent);
-    if (placement.preferenceRank == 0)
-        m_rate.observeCached(placement.prefillTokens, timeToFirstEvent);
+    if (placement.wait < kIdleWait) {
+        m_rate.observe(placement.prefillTokens, timeToFirstEvent);
+        if (placement.preferenceRank == 0)
+            m_rate.observeCached(placement.prefillTokens, timeToFirstEvent);
+    }
+    observeSpeed(placement, timeToFirstEvent, now);
     for (auto &[id, state] : m_states)
-        state.prefill.setTokensPerSecond(m_rate.tokensPerSecond());
+        applySpeed(state, now);
+}
+
+void ServiceBalancer::observeSpeed(const RequestPlacement &placement, Duration timeToFirstEvent,
+                                   TimePoint now)
+{
+    // The time until an engine has a free slot says little about its speed, and so does that of a
+    // prompt that mostly waits for others.
+    if (placement.isFull || placement.isOverLimit || placement.prefillTokens <= 0 ||
+        placement.tokensBefore > placement.prefillTokens)
+        return;
+    const auto it = m_states.find(placement.upstream.id);
+    // A restarted upstream may be on faster hardware than before.
+    if (it == m_states.end() || it->second.entry.bornMs != placement.upstream.bornMs)
+        return;
+    const auto sums = m_firstEvents.observe(
+            {placement.upstream.domain, placement.tokensBefore + placement.prefillTokens,
+             placement.preferenceRank == 0, placement.occupancy, timeToFirstEvent});
+    if (!sums)
+        return;
+    it->second.speed.add(*sums, now);
+    it->second.speedSums += *sums;
+}
+
+void ServiceBalancer::resetSpeed(State &state) const
+{
+    state.speed = {};
+    applySpeed(state, TimePoint{});
+}
+
+void ServiceBalancer::applySpeed(State &state, TimePoint now) const
+{
+    const double factor = state.speed.factor(now);
+    state.slowness = 1 / factor;
+    state.prefill.setTokensPerSecond(factor * m_rate.tokensPerSecond());
 }
 
 void ServiceBalancer::onEnded(const RequestPlacement &placement, AttemptOutcome outcome,
@@ -136,7 +174,8 @@
     std::vector<NodeLoad> loads;
     for (const auto &[id, state] : m_states) {
         if (state.wasUsed)
-            loads.push_back({state.hash, state.running, state.sensitive, state.sentTokens});
+            loads.push_back({state.hash, state.running, state.sensitive, state.sentTokens,
+                             state.speedSums});
     }
     return loads;
 }
@@ -158,6 +197,10 @@
         if (change.promptTokens[urgency] > 0)
             state.prefill.add(urgency, static_cast<double>(change.promptTokens[urgency]), now);
     }
+    if (change.speed.samples > 0) {
+        state.speed.add(change.speed, now);
+        applySpeed(state, now);
+    }
 }
 
 void ServiceBalancer::setRequestLimit(std::uint64_t upstreamHash,
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -46,7 +46,7 @@
     void onSent(const RequestPlacement &placement, TimePoint now);
 
     /** Records that the first event, or the answer, came @p timeToFirstEvent after sending. */
-    void onFirstEvent(const RequestPlacement &placement, Duration timeToFirstEvent);
+    void onFirstEvent(const RequestPlacement &placement, Duration timeToFirstEvent, TimePoint now);
 
     /** Records the end of an attempt. */
     void onEnded(const RequestPlacement &placement, AttemptOutcome outcome, TimePoint now);
@@ -97,6 +97,11 @@
         TokensByUrgency<std::uint64_t> sentTokens{};
         bool wasUsed = false;
         PrefillQueue prefill;
+        EngineSpeed speed;
+        /** Observations of this node. */
+        EngineSpeedSums speedSums;
+        /** Reciprocal of the speed factor that the estimates use. */
+        double slowness = 1;
         std::uint32_t consecutiveFailures = 0;
         TimePoint avoidUntil{};
         /** Set while the upstream limits its requests. */
@@ -139,6 +144,10 @@
         PreferredUpstreams preferred{};
     };
 
+    void observeSpeed(const RequestPlacement &placement, Duration timeToFirstEvent, TimePoint now);
+    void resetSpeed(State &state) const;
+    /** Sets the estimates of an engine by its speed. */
+    void applySpeed(State &state, TimePoint now) const;
     Candidate choose(const Query &query);
     /** Replaces @p best with @p state if that is better. */
     static void consider(Candidate &best, const State &state, const Query &query);
@@ -168,6 +177,7 @@
     EnginePartition m_partition;
     RequestShare m_share;
     PrefillRateEstimator m_rate;
+    FirstEventReference m_firstEvents;
     NodeDemand m_demand;
     /**
      * Usable upstreams in an order that all nodes have: by hash, those that limit their requests
--- a/modules/balancing/service_balancer_choice.cpp
+++ b/modules/balancing/service_balancer_choice.cpp
@@ -53,7 +53,9 @@
     placement.prefillTokens =
             demand.ownTokens + expectedMissFraction(placement.preferenceRank) * demand.sharedTokens;
     placement.wait = std::max(best.permitWait, best.state->prefill.wait(demand.urgency, now));
+    placement.tokensBefore = best.state->prefill.tokensBefore(demand.urgency, now);
     placement.prefillTime = best.state->prefill.timeToPrefill(placement.prefillTokens);
+    placement.occupancy = runningRequests(*best.state) / std::max(1U, best.state->entry.slots);
     placement.isOutsidePartition = best.isOutsidePartition;
     placement.isFull = best.isFull;
     placement.isOverLimit = best.permitWait > Duration(0);
@@ -121,7 +123,9 @@
     const RequestDemand &demand = query.demand;
     const double running = runningRequests(state);
     double cost = toSeconds(state.prefill.wait(demand.urgency, query.now)) +
-                  kRunningPenaltySeconds * running;
+                  kRunningPenaltySeconds * running * state.slowness;
+    // How much longer the rest of the prompt takes than at an engine of the usual speed.
+    cost += (1 - 1 / state.slowness) * toSeconds(state.prefill.timeToPrefill(demand.ownTokens));
     if (demand.tolerance == PauseTolerance::Tolerant)
         cost += std::min(kMaxSensitivePenaltySeconds,
                          kSensitivePenaltySeconds * sensitiveRequests(state));
--- a/modules/balancing/tests/service_balancer_test.cpp
+++ b/modules/balancing/tests/service_balancer_test.cpp
@@ -47,6 +47,10 @@
     CPPUNIT_TEST(namesTheUpstreamThatCachesThePrefix);
     CPPUNIT_TEST(shortPrefixIsNotCopied);
     CPPUNIT_TEST(nodesWithTheSameViewChooseDifferentUpstreams);
+    CPPUNIT_TEST(equalEnginesAreChosenAsWithoutSpeeds);
+    CPPUNIT_TEST(slowEngineGetsFewerLongPrompts);
+    CPPUNIT_TEST(peersShareWhatTheyKnowOfASlowEngine);
+    CPPUNIT_TEST(restartedEngineStartsAtTheSpeedOfTheService);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +195,69 @@
         CPPUNIT_ASSERT(balancer.place(demand, {}, kStart)->kvSourceAddress.empty());
     }
 
+    // Guards against engine speeds that change decisions though the engines are equal.
+    void equalEnginesAreChosenAsWithoutSpeeds()
+    {
+        ServiceBalancer balancer;
+        ServiceBalancer withoutSpeeds;
+        for (auto *it : {&balancer, &withoutSpeeds})
+            it->setUpstreams(makeEntries({"a", "b", "c", "d"}));
+        TimePoint now = kStart;
+        for (int i = 0; i < 500; ++i) {
+            now += milliseconds(500);
+            const auto placement = *balancer.place(makeLongDemand(i % 7), {}, now);
+            auto other = *withoutSpeeds.place(makeLongDemand(i % 7), {}, now);
+            CPPUNIT_ASSERT_EQUAL(placement.upstream.id.value, other.upstream.id.value);
+            CPPUNIT_ASSERT(placement.wait == other.wait);
+            CPPUNIT_ASSERT(placement.prefillTime == other.prefillTime);
+            serve(balancer, placement, 1, now);
+            withoutSpeeds.onSent(other, now);
+            withoutSpeeds.onEnded(other, AttemptOutcome::Succeeded, now);
+            // The rate of the service is measured, but the speed of no engine.
+            other.upstream.id = UpstreamId("unknown");
+            withoutSpeeds.onFirstEvent(other, timeToFirstEvent(other, 1), now);
+        }
+    }
+
+    // Guards against prompts that are late because they queue up at the slowest engine.
+    void slowEngineGetsFewerLongPrompts()
+    {
+        ServiceBalancer balancer;
+        balancer.setUpstreams(makeEntries({"a", "b", "c", "d"}));
+        serveSlowly(balancer, "a", kStart);
+        const TimePoint now = kStart + seconds(12);
+        CPPUNIT_ASSERT(timesChosen(balancer, "a", 3, now) < 10);
+        CPPUNIT_ASSERT(timesChosen(balancer, "a", 1, now + seconds(60)) > 10);
+    }
+
+    // Guards against each node learning anew which engine is slow.
+    void peersShareWhatTheyKnowOfASlowEngine()
+    {
+        ServiceBalancer peer;
+        ServiceBalancer balancer;
+        for (auto *it : {&peer, &balancer})
+            it->setUpstreams(makeEntries({"a", "b", "c", "d"}));
+        serveSlowly(peer, "a", kStart);
+        const TimePoint now = kStart + seconds(12);
+        for (const auto &it : peer.nodeLoads())
+            balancer.onPeerLoad({it.upstreamHash, 0, 0, {}, *it.speed}, now);
+        CPPUNIT_ASSERT(timesChosen(balancer, "a", 3, now) < 10);
+    }
+
+    // Guards against an engine that is judged by the hardware on which it ran before.
+    void restartedEngineStartsAtTheSpeedOfTheService()
+    {
+        auto entries = makeEntries({"a", "b", "c", "d"});
+        for (auto &it : entries)
+            it.bornMs = 1;
+        ServiceBalancer balancer;
+        balancer.setUpstreams(entries);
+        serveSlowly(balancer, "a", kStart);
+        entries[0].bornMs = 2;
+        balancer.setUpstreams(entries);
+        CPPUNIT_ASSERT(timesChosen(balancer, "a", 1, kStart + seconds(12)) > 10);
+    }
+
     // Guards against many nodes that all send their next request to the least loaded upstream.
     void nodesWithTheSameViewChooseDifferentUpstreams()
     {
@@ -209,6 +276,57 @@
     }
 
 private:
+    static RequestDemand makeLongDemand(int shared)
+    {
+        auto demand = makeDemand(static_cast<std::uint64_t>(shared));
+        demand.ownTokens = 4'000;
+        return demand;
+    }
+
+    static Duration timeToFirstEvent(const RequestPlacement &placement, int slowness)
+    {
+        const auto tokens = static_cast<std::int64_t>(placement.prefillTokens);
+        return slowness * milliseconds(20 + tokens / 60);
+    }
+
+    static void serve(ServiceBalancer &balancer, const RequestPlacement &placement, int slowness,
+                      TimePoint now)
+    {
+        balancer.onSent(placement, now);
+        balancer.onFirstEvent(placement, timeToFirstEvent(placement, slowness), now);
+        balancer.onEnded(placement, AttemptOutcome::Succeeded, now);
+    }
+
+    /** Serves requests for 12 s, those at the upstream @p slow in three times the usual time. */
+    static void serveSlowly(ServiceBalancer &balancer, const std::string &slow, TimePoint start)
+    {
+        for (Duration at{0}; at < seconds(12); at += milliseconds(150)) {
+            auto demand = makeDemand();
+            demand.ownTokens = 2'000;
+            const auto placement = *balancer.place(demand, {}, start + at);
+            serve(balancer, placement, placement.upstream.id.value == slow ? 3 : 1, start + at);
+        }
+    }
+
+    /**
+     * @return how many of 80 prompts that arrive 60 ms apart go to the upstream @p id, which takes
+     *         @p slowness times as long as the others.
+     */
+    static int timesChosen(ServiceBalancer &balancer, const std::string &id, int slowness,
+                           TimePoint now)
+    {
+        int times = 0;
+        for (int i = 0; i < 80; ++i) {
+            auto demand = makeDemand();
+            demand.ownTokens = 4'000;
+            const auto placement = *balancer.place(demand, {}, now);
+            times += placement.upstream.id.value == id ? 1 : 0;
+            serve(balancer, placement, placement.upstream.id.value == id ? slowness : 1, now);
+            now += milliseconds(60);
+        }
+        return times;
+    }
+
     static std::vector<UpstreamEntry> makeEntries(const std::vector<std::string> &ids)
     {
         std::vector<UpstreamEntry> result;
--- a/modules/peers/domain_loads.cpp
+++ b/modules/peers/domain_loads.cpp
@@ -11,6 +11,7 @@
     sum.sensitive += change.sensitive;
     for (std::size_t i = 0; i < kUrgencyLevels; ++i)
         sum.promptTokens[i] += change.promptTokens[i];
+    sum.speed += change.speed;
 }
 
 void DomainLoads::onPeerDemand(std::uint64_t service, const NodeDemand &added)
@@ -30,6 +31,9 @@
         load.sensitive += static_cast<std::uint32_t>(std::max<std::int64_t>(0, sum.sensitive));
         for (std::size_t i = 0; i < kUrgencyLevels; ++i)
             load.promptTokens[i] += sum.promptTokens[i];
+        if (!load.speed)
+            load.speed.emplace();
+        *load.speed += sum.speed;
     };
     for (auto &it : report.loads) {
         if (const auto node = rest.extract(it.upstreamHash))
--- a/modules/peers/domain_loads.h
+++ b/modules/peers/domain_loads.h
@@ -25,6 +25,7 @@
         std::int64_t running = 0;
         std::int64_t sensitive = 0;
         TokensByUrgency<std::uint64_t> promptTokens{};
+        EngineSpeedSums speed;
     };
 
     std::unordered_map<std::uint64_t, Sum> m_loads;
--- a/modules/peers/peer_loads.cpp
+++ b/modules/peers/peer_loads.cpp
@@ -6,6 +6,10 @@
 
 // Three report intervals of an idle node, so that one or two reports may be lost.
 constexpr Duration kReportTimeout = seconds(3);
+// The first report of an upstream's load is only the baseline, except for the speed when it has no
+// more samples: many nodes send an upstream few requests, and all of these are recent or count
+// little.
+constexpr std::uint32_t kRecentSamples = 3;
 
 } // namespace
 
@@ -60,8 +64,14 @@
         if (load.promptTokens[i] > last.promptTokens[i])
             change.promptTokens[i] = load.promptTokens[i] - last.promptTokens[i];
     }
+    const EngineSpeedSums speedBefore = last.speed.value_or(EngineSpeedSums());
+    const bool isSpeedKnown = last.speed || (load.speed && load.speed->samples <= kRecentSamples);
+    if (load.speed && isSpeedKnown && load.speed->samples > speedBefore.samples)
+        change.speed = *load.speed - speedBefore;
+    const auto speed = load.speed ? load.speed : last.speed;
     m_sink.onPeerLoad(change);
     last = load;
+    last.speed = speed;
 }
 
 void PeerLoads::subtractLoads(Peer &peer)
@@ -71,6 +81,7 @@
             m_sink.onPeerLoad({upstream,
                                -static_cast<std::int64_t>(load.running),
                                -static_cast<std::int64_t>(load.sensitive),
+                               {},
                                {}});
     }
     peer.loads.clear();
--- a/modules/peers/report_filter.cpp
+++ b/modules/peers/report_filter.cpp
@@ -1,5 +1,7 @@
 #include "modules/peers/report_filter.h"
 
+#include <utility>
+
 namespace hawthornslip {
 
 namespace {
@@ -17,12 +19,22 @@
     std::vector<NodeLoad> selected;
     for (std::size_t i = 0; i < all.size(); ++i) {
         Sent &sent = m_sent[all[i].upstreamHash];
-        if (sent.load != all[i])
-            sent = Sent{all[i], kSendsPerChange};
+        NodeLoad load = all[i];
+        const auto speed = std::exchange(load.speed, sent.load.speed);
+        if (sent.load != load)
+            sent.sendsLeft = kSendsPerChange;
+        if (load.speed != speed)
+            sent.speedSendsLeft = kSendsPerChange;
+        load.speed = speed;
+        sent.load = load;
         const bool isRefreshed =
                 (i + all.size() - m_refreshStart % all.size()) % all.size() < kRefreshedPerReport;
-        if (sent.sendsLeft > 0 || isRefreshed)
-            selected.push_back(all[i]);
+        if (sent.sendsLeft > 0 || isRefreshed) {
+            if (sent.speedSendsLeft == 0 && !isRefreshed)
+                load.speed.reset();
+            sent.speedSendsLeft -= sent.speedSendsLeft > 0 ? 1 : 0;
+            selected.push_back(load);
+        }
         sent.sendsLeft -= sent.sendsLeft > 0 ? 1 : 0;
     }
     m_refreshStart += kRefreshedPerReport;
--- a/modules/peers/report_filter.h
+++ b/modules/peers/report_filter.h
@@ -11,7 +11,9 @@
 
 /**
  * Selects the loads for a report: changed ones, which are sent twice in case a report is lost, and
- * a few others in round-robin order. This keeps reports small when there are many upstreams.
+ * a few others in round-robin order. The speed of an upstream alone causes no report; it goes with
+ * the next load that does, unless it is unchanged. This keeps reports small when there are many
+ * upstreams.
  */
 class ReportFilter
 {
@@ -24,6 +26,7 @@
     {
         NodeLoad load;
         int sendsLeft = 0;
+        int speedSendsLeft = 0;
     };
 
     std::unordered_map<std::uint64_t, Sent> m_sent;
--- a/modules/peers/tests/peer_loads_test.cpp
+++ b/modules/peers/tests/peer_loads_test.cpp
@@ -20,6 +20,7 @@
         running[change.upstreamHash] += change.running;
         for (const auto it : change.promptTokens)
             tokens[change.upstreamHash] += it;
+        speed += change.speed;
     }
     void onPeerDemand(std::uint64_t, const NodeDemand &added) override
     {
@@ -29,6 +30,7 @@
     std::map<std::uint64_t, std::int64_t> running;
     std::map<std::uint64_t, std::uint64_t> tokens;
     std::uint64_t demand = 0;
+    EngineSpeedSums speed;
 };
 
 PeerReport makeReport(std::uint64_t sequence, std::uint32_t running, std::uint64_t tokens,
@@ -56,6 +58,9 @@
     CPPUNIT_TEST(restartedPeerStartsFromZero);
     CPPUNIT_TEST(demandOfAReplacedSummarizerIsCountedOnce);
     CPPUNIT_TEST(filterRepeatsChangesAndRefreshesTheRest);
+    CPPUNIT_TEST(speedsAddUpThoughMostReportsLackThem);
+    CPPUNIT_TEST(oldSpeedOfAnUnknownPeerIsOnlyTheBaseline);
+    CPPUNIT_TEST(speedAloneIsNotReported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +165,63 @@
             CPPUNIT_ASSERT(found);
         }
     }
+
+    // Guards against observations that are lost or counted twice because a report leaves them out.
+    void speedsAddUpThoughMostReportsLackThem()
+    {
+        SumSink sink;
+        PeerLoads loads(sink);
+        auto report = makeReport(1, 1, 0);
+        const auto deliver = [&](std::optional<EngineSpeedSums> speed) {
+            report.loads[0].speed = speed;
+            loads.onReport(report, kStart);
+            ++report.sequence;
+        };
+        deliver(EngineSpeedSums{1, -10});
+        deliver(std::nullopt);
+        deliver(EngineSpeedSums{4, 60});
+        deliver(std::nullopt);
+        deliver(EngineSpeedSums{4, 60});
+        CPPUNIT_ASSERT(sink.speed == (EngineSpeedSums{4, 60}));
+    }
+
+    // Guards against the speed of an hour ago that counts as just observed.
+    void oldSpeedOfAnUnknownPeerIsOnlyTheBaseline()
+    {
+        SumSink sink;
+        PeerLoads loads(sink);
+        auto report = makeReport(1, 1, 0);
+        report.loads[0].speed = EngineSpeedSums{500, 9000};
+        loads.onReport(report, kStart);
+        CPPUNIT_ASSERT_EQUAL(0U, sink.speed.samples);
+        report.sequence = 2;
+        report.loads[0].speed = EngineSpeedSums{502, 9010};
+        loads.onReport(report, kStart);
+        CPPUNIT_ASSERT(sink.speed == (EngineSpeedSums{2, 10}));
+    }
+
+    // Guards against first events that each cause one more entry in the reports.
+    void speedAloneIsNotReported()
+    {
+        ReportFilter filter;
+        std::vector<NodeLoad> all(50);
+        for (std::size_t i = 0; i < all.size(); ++i)
+            all[i] = {i + 1, 1, 0, {}, EngineSpeedSums()};
+        filter.select(all);
+        filter.select(all);
+        all[17].speed->samples = 1;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, filter.select(all).size());
+        all[17].running = 2;
+        for (int i = 0; i < 2; ++i) {
+            int found = 0;
+            for (const auto &it : filter.select(all))
+                found += it.running == 2 && it.speed == all[17].speed ? 1 : 0;
+            CPPUNIT_ASSERT_EQUAL(1, found);
+        }
+        all[17].running = 3;
+        for (const auto &it : filter.select(all))
+            CPPUNIT_ASSERT(it.running != 3 || !it.speed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLoadsTest);
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -272,7 +272,7 @@
     const bool mayContinue = m_relay.onPiece(piece);
     if (!hadOutput && m_relay.hasFirstOutput()) {
         m_begunAt = m_gateway.parts().loop.now();
-        m_service->balancer.onFirstEvent(m_placement, m_begunAt - m_sentAt);
+        m_service->balancer.onFirstEvent(m_placement, m_begunAt - m_sentAt, m_begunAt);
     }
     // An upstream that crashes on a prompt does so as it begins to answer it.
     if (m_relay.attemptEvents() > 1)
@@ -349,8 +349,10 @@
 
 void Exchange::onBufferedAnswer()
 {
-    if (!m_relay.hasFirstOutput())
-        m_service->balancer.onFirstEvent(m_placement, m_gateway.parts().loop.now() - m_sentAt);
+    if (!m_relay.hasFirstOutput()) {
+        const TimePoint now = m_gateway.parts().loop.now();
+        m_service->balancer.onFirstEvent(m_placement, now - m_sentAt, now);
+    }
     const bool failed = m_relay.evidence().isFailure();
     closeAttempt(failed ? AttemptOutcome::Failed : AttemptOutcome::Succeeded);
     // After a stream has begun, a plain answer means that this upstream could not continue it.
--- a/servers/peers/load_report_codec.cpp
+++ b/servers/peers/load_report_codec.cpp
@@ -96,6 +96,10 @@
             --levels;
         for (std::size_t i = 0; i < levels; ++i)
             load->add_prompt_tokens(it.promptTokens[i]);
+        if (it.speed) {
+            load->set_speed_samples(it.speed->samples);
+            load->set_log_slowness(it.speed->logSlowness);
+        }
     }
     for (const auto &[service, it] : report.demands) {
         auto *demand = message.add_demands();
@@ -131,10 +135,12 @@
     report.copy = message.copy();
     report.heardNodes.assign(message.heard_nodes().begin(), message.heard_nodes().end());
     for (const auto &it : message.loads()) {
-        NodeLoad load{it.upstream(), it.running(), it.sensitive(), {}};
+        NodeLoad load{it.upstream(), it.running(), it.sensitive(), {}, std::nullopt};
         const auto levels = std::min<std::size_t>(kUrgencyLevels, it.prompt_tokens().size());
         for (std::size_t i = 0; i < levels; ++i)
             load.promptTokens[i] = it.prompt_tokens(static_cast<int>(i));
+        if (it.has_speed_samples())
+            load.speed = EngineSpeedSums{it.speed_samples(), it.log_slowness()};
         report.loads.push_back(load);
     }
     for (const auto &it : message.demands())
--- a/tests/servers/gateway/heavy_load_test.cpp
+++ b/tests/servers/gateway/heavy_load_test.cpp
@@ -19,6 +19,9 @@
 constexpr Duration kReportPauseTarget = milliseconds(800);
 // Requirement: 95 % of the requests meet their targets.
 constexpr double kMinShareInTime = 0.95;
+constexpr int kSlowness = 3;
+// Without speeds of engines, 95 % of the reports are in time.
+constexpr double kMinShareWithSlowEngines = 0.98;
 // Time that the nodes have to follow a limit.
 constexpr Duration kContact = seconds(3);
 
@@ -43,6 +46,8 @@
     std::size_t nodes = kNodes;
     std::size_t engines = kEngines;
     EnginePace pace;
+    /** The first engines, which take kSlowness times as long as the others. */
+    std::size_t slowEngines = 0;
     RequestKind dialogue{
             "/dialogue/", kDialogueFirstTarget, kDialoguePauseTarget, 0, 700, 250, "topic", 40,
             200};
@@ -91,8 +96,12 @@
         }
         fleet = std::make_unique<GatewayFleet>(deployment.nodes, client, makeConfig(deployment),
                                                upstreams);
-        for (const auto &it : upstreams)
-            client.engines[it.address] = std::make_shared<EngineSim>(fleet->loop, deployment.pace);
+        EnginePace slow = deployment.pace;
+        slow.step *= kSlowness;
+        slow.promptTokensPerMs /= kSlowness;
+        for (std::size_t i = 0; i < upstreams.size(); ++i)
+            client.engines[upstreams[i].address] = std::make_shared<EngineSim>(
+                    fleet->loop, i < deployment.slowEngines ? slow : deployment.pace);
         m_startedAt = fleet->loop.now();
     }
 
@@ -225,6 +234,7 @@
     CPPUNIT_TEST(closeObjectivesMeetTargetsInABurst);
     CPPUNIT_TEST(closeObjectivesMeetTargetsOnSmallEngines);
     CPPUNIT_TEST(longPromptsAreNotRefusedBesideLimitedEngines);
+    CPPUNIT_TEST(slowEnginesGetLessWork);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -327,6 +337,23 @@
                                share >= kMinShareInTime);
     }
 
+    // Guards against late reports because slow engines get as many prompts as the others: a third
+    // of the engines take three times as long.
+    void slowEnginesGetLessWork()
+    {
+        Deployment deployment;
+        deployment.engines = 24;
+        deployment.slowEngines = 8;
+        Simulation simulation(deployment);
+        simulation.send(160, 40, seconds(5));
+        simulation.dialogueViews.clear();
+        simulation.reportViews.clear();
+        simulation.run(160, 40);
+        for (const double share : {simulation.dialoguesInTime(), simulation.reportsInTime()})
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("share in time: {:.3f}", share),
+                                   share >= kMinShareWithSlowEngines);
+    }
+
     // Guards against long prompts that are refused while limited engines take short ones.
     void longPromptsAreNotRefusedBesideLimitedEngines()
     {
