--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -232,7 +232,7 @@
     const bool mayContinue = m_relay.onPiece(piece);
     if (!hadOutput && m_relay.hasFirstOutput()) {
         m_begunAt = m_gateway.parts().loop.now();
-        m_service->balancer.onFirstEvent(m_placement, m_begunAt - m_sentAt);
+        m_service->balancer.onFirstEvent(m_placement, m_begunAt - m_sentAt, m_begunAt);
         countUsage();
     }
     // An upstream that crashes on a prompt does so as it begins to answer it.
@@ -311,8 +311,10 @@
 
 void Exchange::onBufferedAnswer()
 {
-    if (!m_relay.hasFirstOutput())
-        m_service->balancer.onFirstEvent(m_placement, m_gateway.parts().loop.now() - m_sentAt);
+    if (!m_relay.hasFirstOutput()) {
+        const TimePoint now = m_gateway.parts().loop.now();
+        m_service->balancer.onFirstEvent(m_placement, now - m_sentAt, now);
+    }
     countUsage();
     const bool failed = m_relay.evidence().isFailure();
     closeAttempt(failed ? AttemptOutcome::Failed : AttemptOutcome::Succeeded);
