Keep a copy of the collected counts in the store

The holder now writes what it has heard, by start of a node, each second, and a new holder reads it before it freezes a window.

--- a/modules/usage/tests/usage_counts_test.cpp
+++ b/modules/usage/tests/usage_counts_test.cpp
@@ -1,5 +1,6 @@
 #include "modules/usage/usage_collector.h"
 #include "modules/usage/usage_counter.h"
+#include "modules/usage/usage_draft.h"
 #include "modules/usage/usage_journal.h"
 #include "modules/usage/window_clock.h"
 
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(delayedQuestionDoesNotMoveWindows);
     CPPUNIT_TEST(fewClocksChangeNothing);
     CPPUNIT_TEST(unreadableJournalsAreRefused);
+    CPPUNIT_TEST(draftsKeepTheCountsOfEachStart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +131,28 @@
         CPPUNIT_ASSERT_EQUAL(UnixMillis(1000), holder.timeAt(start));
     }
 
+    // Guards against a draft that mixes starts of a node up, and against one that other software
+    // has written.
+    void draftsKeepTheCountsOfEachStart()
+    {
+        StartCounts starts;
+        starts[{NodeId("n"), 1}] = {{9, {{"a", 1}}}, {10, {{"a", 2}, {"b", 3}}}};
+        starts[{NodeId("n"), 2}] = {{10, {{"b", 4}}}, {11, {}}};
+        starts[{NodeId("m"), 3}] = {{9, {{"c", 5}}}};
+        const auto decoded = decodeUsageDraft(encodeUsageDraft(starts, 10));
+        starts.erase({NodeId("m"), 3});
+        starts.begin()->second.erase(9);
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(starts == *decoded);
+        CPPUNIT_ASSERT(encodeUsageDraft(starts, 12).empty());
+        for (const char *text : {"", "[]", "{}", R"({"workspaces":[1],"starts":[]})",
+                                 R"({"workspaces":["a"],"starts":[["n",1]]})",
+                                 R"({"workspaces":["a"],"starts":[["n",1,[[5,[1,2]]]]]})",
+                                 R"({"workspaces":["a"],"starts":[["n",1,[[5,[0]]]]]})",
+                                 R"({"workspaces":["a"],"starts":[["n",1,[[5,[0,-2]]]]]})"})
+            CPPUNIT_ASSERT(!decodeUsageDraft(text).has_value());
+    }
+
     // Guards against a journal that other software has written.
     void unreadableJournalsAreRefused()
     {
--- a/modules/usage/usage_collector.h
+++ b/modules/usage/usage_collector.h
@@ -11,6 +11,9 @@
 
 namespace hawthornslip {
 
+/** Counts by node and start of the node. */
+using StartCounts = std::map<std::pair<NodeId, std::uint64_t>, WindowCounts>;
+
 /** Usage of all nodes in one window. */
 struct WindowUsage
 {
@@ -47,12 +50,14 @@
     /** @return the sum of @p window. @param nodes all nodes that are expected to contribute. */
     WindowUsage sum(std::uint64_t window, const std::vector<NodeId> &nodes) const;
 
+    /** @return all counts that are kept. */
+    const StartCounts &counts() const { return m_counts; }
+
     /** Drops windows before @p window. */
     void forgetBefore(std::uint64_t window);
 
 private:
-    /** Counts by node and start. */
-    std::map<std::pair<NodeId, std::uint64_t>, WindowCounts> m_counts;
+    StartCounts m_counts;
     struct FinalWindows
     {
         std::uint64_t since = 0;
--- a/servers/duties/usage_service.cpp
+++ b/servers/duties/usage_service.cpp
@@ -44,6 +44,7 @@
     , m_clock(times.window, parts.loop.wallNow(), parts.loop.now())
     , m_startedAt(parts.loop.now())
     , m_counter(times)
+    , m_backup(parts.loop, parts.store, m_collector, [this](std::uint64_t era) { enterEra(era); })
     , m_reporter(times)
 {
     m_parts.peers.setUsage(this);
@@ -65,6 +66,7 @@
         return;
     m_era = era;
     m_reporter.enterEra(era);
+    m_backup.enterEra(era);
 }
 
 void UsageService::onRequestBegun(const std::string &workspace)
@@ -90,6 +92,8 @@
 void UsageService::collectAndReport(const DutyTerm &term)
 {
     const TimePoint now = m_parts.loop.now();
+    if (std::exchange(m_generation, term.generation) != term.generation)
+        m_backup.reset();
     m_clock.onNodeClock(m_self, m_parts.loop.wallNow(), now);
     m_clock.setToMedian(now);
     const std::uint64_t open = m_clock.windowAt(now);
@@ -100,9 +104,10 @@
     if (const auto first = m_reporter.firstToCollect(open)) {
         if (m_collectingSince == TimePoint{})
             m_collectingSince = now;
-        m_collector.onCounts(m_self, 0, m_counter.countsFrom(*first));
+        m_collector.onCounts(m_self, m_parts.peers.boot(), m_counter.countsFrom(*first));
         m_collector.onFinal(m_self, m_clock.windowAt(m_startedAt), open);
         const std::vector<NodeId> nodes = livePeers();
+        m_backup.update(*first);
         ask(nodes, *first, open);
         ready = readyWindows(nodes, *first, open);
     }
@@ -168,7 +173,8 @@
         if (!m_reporter.needsCounts(window) || waited < kSettleTime)
             continue;
         WindowUsage usage = m_collector.sum(window, nodes);
-        if (!usage.isKnown || (usage.missing > 0 && waited < kLongestWait))
+        const bool mayRise = usage.missing > 0 || !m_backup.isLoaded();
+        if (!usage.isKnown || (mayRise && waited < kLongestWait))
             continue;
         m_frozen[window] = {usage.parts, usage.missing};
         ready[window] = std::move(usage.counts);
--- a/servers/duties/usage_service.h
+++ b/servers/duties/usage_service.h
@@ -10,6 +10,7 @@
 #include "modules/usage/usage_counter.h"
 #include "modules/usage/usage_reporter.h"
 #include "modules/usage/window_clock.h"
+#include "servers/duties/usage_backup.h"
 #include "servers/duties/usage_codec.h"
 #include "servers/peers/peer_usage.h"
 
@@ -96,7 +97,10 @@
     TimePoint m_startedAt;
     UsageCounter m_counter;
     UsageCollector m_collector;
+    UsageBackup m_backup;
     UsageReporter m_reporter;
+    /** Generation of the last term of this node. */
+    std::uint64_t m_generation = 0;
     std::uint64_t m_era = 0;
     std::uint64_t m_sequence = 0;
     std::map<NodeId, Asked> m_asked;
--- a/servers/peers/load_exchange.h
+++ b/servers/peers/load_exchange.h
@@ -74,6 +74,7 @@
 
     void setUsage(PeerUsage *usage) override { m_usage = usage; }
     void sendUsage(const NodeId &to, const std::string &bytes) override;
+    std::uint64_t boot() const override { return m_boot; }
 
     /** @return the addresses of all other nodes that this node hears. */
     std::vector<std::string> livePeers() const override
--- a/servers/peers/peer_usage.h
+++ b/servers/peers/peer_usage.h
@@ -28,6 +28,8 @@
     virtual void setUsage(PeerUsage *usage) = 0;
     /** Sends a message; it should fit into a datagram. */
     virtual void sendUsage(const NodeId &to, const std::string &bytes) = 0;
+    /** @return the number of this start, as the others get it with the messages. */
+    virtual std::uint64_t boot() const = 0;
     /** @return the addresses of all other nodes that this node hears. */
     virtual std::vector<std::string> livePeers() const = 0;
 };
--- a/tests/servers/duties/usage_service_test.cpp
+++ b/tests/servers/duties/usage_service_test.cpp
@@ -51,6 +51,7 @@
         {
             m_cluster.deliver(*this, to, bytes);
         }
+        std::uint64_t boot() const override { return m_boot; }
         std::vector<std::string> livePeers() const override
         {
             std::vector<std::string> live;
@@ -202,6 +203,7 @@
     CPPUNIT_TEST(newHolderCollectsWindowsThatAreNotReported);
     CPPUNIT_TEST(windowThatEndsDuringAnOutageIsReportedLater);
     CPPUNIT_TEST(windowThatNobodyKnowsIsNotReported);
+    CPPUNIT_TEST(countsOutliveTheEndOfAllNodes);
     CPPUNIT_TEST(refusedGenerationEndsTheTerm);
     CPPUNIT_TEST(idleNodesSendNothing);
     CPPUNIT_TEST(nodeThatEndsWithoutAHolderIsCounted);
@@ -331,6 +333,7 @@
     void windowThatNobodyKnowsIsNotReported()
     {
         UsageCluster cluster(3);
+        cluster.nodes[0]->generation = 0;
         cluster.finishWindow(milliseconds(10));
         const std::uint64_t window = cluster.window();
         for (auto &it : cluster.nodes)
@@ -347,6 +350,31 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), cluster.reported.at(window + 1).at("a"));
     }
 
+    // Guards against counts that are lost, or counted twice, when all nodes end at once.
+    void countsOutliveTheEndOfAllNodes()
+    {
+        UsageCluster cluster(5);
+        cluster.finishWindow(milliseconds(10));
+        const std::uint64_t window = cluster.window();
+        for (auto &it : cluster.nodes)
+            it->request("a", 3);
+        cluster.loop.advance(milliseconds(2500));
+        for (std::size_t i = 0; i < cluster.nodes.size(); ++i)
+            cluster.restart(i);
+        cluster.nodes[1]->request("a", 2);
+        cluster.hold(1);
+        cluster.finishWindow(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(17), cluster.reported.at(window).at("a"));
+        // A change of holder without an end of a node.
+        for (auto &it : cluster.nodes)
+            it->request("b", 4);
+        cluster.loop.advance(milliseconds(1500));
+        cluster.nodes[1]->generation = 0;
+        cluster.hold(2);
+        cluster.finishWindow(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), cluster.reported.at(window + 1).at("b"));
+    }
+
     // Guards against a holder that goes on after the provider has seen a later one.
     void refusedGenerationEndsTheTerm()
     {
