--- a/modules/usage/usage_reporter.cpp
+++ b/modules/usage/usage_reporter.cpp
@@ -93,11 +93,14 @@
         return;
     }
     m_written = m_journal;
-    // Windows that have begun may have been reported in an earlier era, by a node whose clock
-    // differs by less than a window.
     const bool isNew = m_journal.firstWindow == kNoWindow;
+    if (isNew && !tick.isClockSet)
+        return;
+    // Windows that had begun with the era may have been reported before it, by a node whose clock
+    // differs by less than a window.
     if (isNew)
-        m_written.firstWindow = tick.openWindow + 1;
+        m_written.firstWindow = std::max((m_isFirstOfEra ? tick.eraWindow : tick.openWindow) + 1,
+                                         m_times.oldestKept(tick.openWindow));
     bool hasNew = isNew;
     for (const auto &[window, counts] : tick.ready) {
         if (window >= tick.openWindow || !needsCounts(window))
@@ -137,6 +140,7 @@
         return;
     }
     m_isLoaded = true;
+    m_isFirstOfEra = !result.ok() && m_version == 0;
     m_version = result.ok() ? result.object.version : 0;
     // What an unreadable journal held is not known, as with one that is lost.
     auto journal = result.ok() ? decodeUsageJournal(result.object.value) : std::nullopt;
--- a/modules/usage/usage_reporter.h
+++ b/modules/usage/usage_reporter.h
@@ -56,6 +56,10 @@
     std::optional<DutyTerm> term;
     /** Windows whose counts may be frozen now. */
     WindowCounts ready;
+    /** The window in which this node first saw the era of the store, which had begun by then. */
+    std::uint64_t eraWindow = 0;
+    /** False while the clock of this node may differ from those of the others. */
+    bool isClockSet = true;
 };
 
 /**
@@ -114,6 +118,8 @@
     UsageJournal m_journal;
     std::uint64_t m_version = 0;
     bool m_isLoaded = false;
+    /** This era has had no journal. */
+    bool m_isFirstOfEra = false;
     /** The journal with the changes that are being written. */
     UsageJournal m_written;
     std::uint64_t m_lastOperation = 0;
--- a/servers/duties/usage_backup.cpp
+++ b/servers/duties/usage_backup.cpp
@@ -91,6 +91,7 @@
     } else if (result.error != StoreError::Unavailable && result.error != StoreError::RateLimited) {
         // Another node has written, or this write has taken effect without an answer.
         m_isLoaded = false;
+        m_notBefore = std::min(m_notBefore, m_loop.now() + kRetryDelay);
     }
 }
 
--- a/servers/duties/usage_service.cpp
+++ b/servers/duties/usage_service.cpp
@@ -23,6 +23,8 @@
 // Longest wait for the final counts of a window; a node may have ended without notice.
 constexpr Duration kLongestWait = seconds(2);
 // A holder asks each second; after this time without a question there is none.
+// Time in which the other nodes answer with their clocks.
+constexpr Duration kClockWait = milliseconds(500);
 constexpr Duration kUnaskedAfter = milliseconds(2500);
 // An answer that was longer on its way does not show the other node's clock.
 constexpr Duration kMaxClockDelay = milliseconds(200);
@@ -46,6 +48,7 @@
     , m_counter(times)
     , m_backup(parts.loop, parts.store, m_collector, [this](std::uint64_t era) { enterEra(era); })
     , m_reporter(times)
+    , m_eraSeenAt(parts.loop.now())
 {
     m_parts.peers.setUsage(this);
 }
@@ -65,6 +68,7 @@
     if (era <= m_era)
         return;
     m_era = era;
+    m_eraSeenAt = m_parts.loop.now();
     m_reporter.enterEra(era);
     m_backup.enterEra(era);
 }
@@ -81,7 +85,7 @@
     if (const auto term = m_parts.duties.current(now))
         collectAndReport(*term);
     else
-        m_collectingSince = TimePoint{};
+        m_termSince = m_collectingSince = TimePoint{};
     backUpCounts();
     m_parts.loop.after(kTickInterval, [this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
@@ -100,18 +104,23 @@
     std::erase_if(m_frozen, [oldest = m_times.oldestKept(open)](const auto &it) {
         return it.first < oldest;
     });
-    WindowCounts ready;
-    if (const auto first = m_reporter.firstToCollect(open)) {
+    if (m_termSince == TimePoint{})
+        m_termSince = now;
+    UsageTick tick{now, open, term, {}};
+    tick.eraWindow = m_clock.windowAt(m_eraSeenAt);
+    tick.isClockSet = now - m_termSince >= kClockWait;
+    const std::vector<NodeId> nodes = livePeers();
+    const auto first = m_reporter.firstToCollect(open);
+    if (first) {
         if (m_collectingSince == TimePoint{})
             m_collectingSince = now;
         m_collector.onCounts(m_self, m_parts.peers.boot(), m_counter.countsFrom(*first));
         m_collector.onFinal(m_self, m_clock.windowAt(m_startedAt), open);
-        const std::vector<NodeId> nodes = livePeers();
         m_backup.update(*first);
-        ask(nodes, *first, open);
-        ready = readyWindows(nodes, *first, open);
+        tick.ready = readyWindows(nodes, *first, open);
     }
-    for (const auto &it : m_reporter.onTick({now, open, term, std::move(ready)}))
+    ask(nodes, first, open);
+    for (const auto &it : m_reporter.onTick(tick))
         std::visit([this](const auto &action) { perform(action); }, it);
     m_parts.metrics.gauge(metric::kUsagePending, {}, static_cast<double>(m_reporter.pending()));
 }
@@ -145,19 +154,20 @@
     }
 }
 
-void UsageService::ask(const std::vector<NodeId> &nodes, std::uint64_t first, std::uint64_t open)
+void UsageService::ask(const std::vector<NodeId> &nodes, std::optional<std::uint64_t> first,
+                       std::uint64_t open)
 {
     const TimePoint now = m_parts.loop.now();
     std::erase_if(m_asked, [&](const auto &it) {
         return std::find(nodes.begin(), nodes.end(), it.first) == nodes.end();
     });
     for (const auto &node : nodes) {
-        const std::uint64_t nodeFirst = m_collector.firstOpen(node, first);
+        const std::uint64_t nodeFirst = first ? m_collector.firstOpen(node, *first) : open;
         Asked &asked = m_asked[node];
         const Duration interval = nodeFirst < open ? kAskAgainInterval : kAskInterval;
         if (asked.sequence != 0 && now - asked.at < interval)
             continue;
-        asked = {++m_sequence, now, {}};
+        asked = {++m_sequence, now, first.has_value(), {}};
         m_parts.peers.sendUsage(node, encodeUsageQuestion({m_sequence, nodeFirst, m_times.window,
                                                            m_clock.timeAt(now)}));
     }
@@ -220,7 +230,7 @@
     if (now - it->second.at <= kMaxClockDelay)
         m_clock.onNodeClock(node, answer.clock, now);
     it->second.answeredParts.insert(answer.part);
-    if (it->second.answeredParts.size() == answer.parts)
+    if (it->second.isForCounts && it->second.answeredParts.size() == answer.parts)
         m_collector.onFinal(node, answer.since, answer.openWindow);
 }
 
--- a/servers/duties/usage_service.h
+++ b/servers/duties/usage_service.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,6 +59,8 @@
     {
         std::uint64_t sequence = 0;
         TimePoint at{};
+        /** The answer has the counts of all windows that are needed. */
+        bool isForCounts = false;
         std::set<std::uint32_t> answeredParts;
     };
 
@@ -73,7 +76,9 @@
     /** Sends this node's counts to those that may hold the duty next, unless a holder asks. */
     void backUpCounts();
     std::vector<NodeId> livePeers() const;
-    void ask(const std::vector<NodeId> &nodes, std::uint64_t first, std::uint64_t open);
+    /** Asks the nodes that it is time for. @param first without it, only for their clocks. */
+    void ask(const std::vector<NodeId> &nodes, std::optional<std::uint64_t> first,
+             std::uint64_t open);
     WindowCounts readyWindows(const std::vector<NodeId> &nodes, std::uint64_t first,
                               std::uint64_t open);
     void handle(const NodeId &node, std::uint64_t boot, const UsageQuestion &question);
@@ -102,8 +107,12 @@
     /** Generation of the last term of this node. */
     std::uint64_t m_generation = 0;
     std::uint64_t m_era = 0;
+    /** Time at which this node first saw the era. */
+    TimePoint m_eraSeenAt;
     std::uint64_t m_sequence = 0;
     std::map<NodeId, Asked> m_asked;
+    /** Start of the term of this node; TimePoint{} without one. */
+    TimePoint m_termSince{};
     /** Time from which the counts are collected; TimePoint{} while they are not. */
     TimePoint m_collectingSince{};
     std::map<std::uint64_t, Frozen> m_frozen;
