--- a/modules/scaling/capacity_split.cpp
+++ b/modules/scaling/capacity_split.cpp
@@ -38,7 +38,9 @@
 /** @return the number of ordinary upstreams that a loss of the others in one domain asks for. */
 std::uint32_t ordinaryFor(const CapacityGoal &goal, std::size_t reclaimableDomains)
 {
-    if (reclaimableDomains == 0 || goal.total <= goal.afterLoss)
+    if (reclaimableDomains == 0)
+        return goal.needed;
+    if (goal.total <= goal.afterLoss)
         return goal.total;
     // With r reclaimable upstreams in d domains, total - r / d must be at least afterLoss.
     const std::uint64_t reclaimable =
--- a/modules/scaling/order_book.cpp
+++ b/modules/scaling/order_book.cpp
@@ -30,8 +30,9 @@
         if (isDue(m_entries[subject], n, countOf(ready, subject), now))
             orders.push_back({subject, n});
     }
-    std::ranges::stable_partition(
-            orders, [&ready](const auto &it) { return it.desired > countOf(ready, it.subject); });
+    std::stable_partition(orders.begin(), orders.end(), [&ready](const auto &it) {
+        return it.desired > countOf(ready, it.subject);
+    });
     return orders;
 }
 
--- a/modules/scaling/scaling_types.h
+++ b/modules/scaling/scaling_types.h
@@ -62,7 +62,7 @@
      * ready when reclaimable upstreams are on offer. */
     double jumpReserve = 1.0;
     /** Share of the capacity without reserves that ordinary upstreams always provide. */
-    double ordinaryShare = 0.25;
+    double ordinaryShare = 0.2;
     /** Capacity is kept for the highest demand within this time. */
     Duration keepFor = seconds(20);
     /** Interval between two steps down, and the size of a step as a fraction. */
