--- a/tests/crowds/crowd_run.cpp
+++ b/tests/crowds/crowd_run.cpp
@@ -24,7 +24,8 @@
 
 soak::GatewayPorts makePorts(std::uint16_t store)
 {
-    return {soak::freePort(), soak::freePort(), soak::freePort(), soak::freePort(), store};
+    return {soak::reservePort(), soak::reservePort(), soak::reservePort(), soak::reservePort(),
+            store};
 }
 
 std::string limits()
