Keep a small heap between the buffers of single reads

Cause: with a fixed threshold for mapped buffers glibc also keeps the threshold of 128 KiB for giving the heap back, so that each large read may shrink and grow it again. Change: 1 MiB stays. Not measured: processor time.

--- a/main/memory_report.cpp
+++ b/main/memory_report.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kMappedBytes = 128 << 10;
+// Buffers of single reads come and go; the heap is not shrunk after each of them.
+constexpr int kKeptHeapBytes = 1 << 20;
 
 } // namespace
 
@@ -18,6 +20,7 @@
 {
 #ifdef M_MMAP_THRESHOLD
     mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+    mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes);
 #endif
 }
 
