--- a/tests/fuzz/gateway_message_fuzz.cpp
+++ b/tests/fuzz/gateway_message_fuzz.cpp
@@ -1,5 +1,8 @@
 #include "modules/freshness/state_log.h"
+#include "modules/usage/usage_draft.h"
+#include "modules/usage/usage_journal.h"
 #include "platform/object_feed.h"
+#include "servers/duties/usage_codec.h"
 #include "servers/peers/load_report_codec.h"
 #include "servers/state/state_codec.h"
 
@@ -17,6 +20,9 @@
     using namespace hawthornslip;
     const std::string bytes(reinterpret_cast<const char *>(data), size);
     decodeReport(bytes, TimePoint());
+    decodeUsage(bytes);
+    decodeUsageDraft(bytes);
+    decodeUsageJournal(bytes);
     const auto reply = decodeState(bytes);
     if (!reply)
         return 0;
