--- a/modules/scaling/order_book.cpp
+++ b/modules/scaling/order_book.cpp
@@ -109,7 +109,7 @@
             continue;
         refuse(entry, now);
         // The provider may still count them, so the number that is left is ordered.
-        entry.isUncertain = true;
+        entry.confirmAt = now;
         domains.push_back(subject.domain);
     }
     return domains;
