Slow down orders that the provider does not answer, and need an upper bound

Cause: an order without an answer was repeated each second without end, and a service without an upper bound was planned with none allowed. Change: the interval doubles up to 5 s; such a service is not scaled.

--- a/modules/scaling/order_book.cpp
+++ b/modules/scaling/order_book.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration kOrderInterval = milliseconds(500);
 constexpr Duration kRetryDelay = seconds(1);
+constexpr Duration kLongestRetry = seconds(5);
 // A call without an answer may be carried out for some seconds.
 constexpr Duration kLateExecution = seconds(6);
 constexpr Duration kLongestRefusal = seconds(60);
@@ -64,7 +65,8 @@
 {
     Entry &entry = m_entries[order.subject];
     entry.inFlight = false;
-    entry.nextAt = now + kRetryDelay;
+    entry.retryDelay = std::min(std::max(2 * entry.retryDelay, kRetryDelay), kLongestRetry);
+    entry.nextAt = now + entry.retryDelay;
     switch (result) {
     case ProviderResult::Accepted: {
         const bool isRepeated = entry.accepted == order.desired;
@@ -74,6 +76,7 @@
         entry.differsSince.reset();
         entry.nextAt = now + kOrderInterval;
         entry.refusalDelay = Duration(0);
+        entry.retryDelay = Duration(0);
         entry.confirmAt.reset();
         if (std::exchange(entry.isUncertain, false))
             entry.confirmAt = now + kLateExecution;
--- a/modules/scaling/order_book.h
+++ b/modules/scaling/order_book.h
@@ -62,6 +62,8 @@
         /** When the value is sent again because such a call may have replaced it. */
         std::optional<TimePoint> confirmAt;
         TimePoint nextAt{};
+        /** Interval before the next order after a call that was not accepted; zero without one. */
+        Duration retryDelay{0};
         /** Interval before the next order after the last refusal; zero without one. */
         Duration refusalDelay{0};
         TimePoint refusedUntil{};
--- a/modules/scaling/tests/order_book_test.cpp
+++ b/modules/scaling/tests/order_book_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(sendsOneOrderForEachChange);
     CPPUNIT_TEST(repeatsAnOrderOfUnknownFateWithTheNewestValue);
     CPPUNIT_TEST(repeatsAnOrderWithoutEffect);
+    CPPUNIT_TEST(silentProviderIsCalledRarely);
     CPPUNIT_TEST(findsReclaimedUpstreamsOnce);
     CPPUNIT_TEST(refusedRiseWaitsAndAFallDoesNot);
     CPPUNIT_TEST_SUITE_END();
@@ -81,6 +82,22 @@
         CPPUNIT_ASSERT(calls >= 2 && calls <= 6);
     }
 
+    // Guards against a call each second while the provider answers none.
+    void silentProviderIsCalledRarely()
+    {
+        OrderBook book(kStartTime);
+        TimePoint now{seconds(1)};
+        std::size_t calls = 0;
+        for (const TimePoint end = now + seconds(60); now < end; now += kStep) {
+            for (const auto &it : book.due({{m_subject, 5}}, {}, now)) {
+                ++calls;
+                book.onSent(it);
+                book.onResult(it, ProviderResult::Unknown, now);
+            }
+        }
+        CPPUNIT_ASSERT(calls >= 8 && calls <= 16);
+    }
+
     // Guards against capacity that is counted on after it was taken away, and against an upstream
     // that one has given up oneself being taken for such a loss.
     void findsReclaimedUpstreamsOnce()
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -145,7 +145,8 @@
     if (!m_state.isComplete())
         return services;
     for (const auto &it : m_state.config().table()->config().services) {
-        if (!it.scaling)
+        // Without an upper bound nothing can be ordered.
+        if (!it.scaling || it.scaling->maxUpstreams == 0)
             continue;
         // Creates the balancer, which sums the demand of the peers from then on.
         const ServiceContext &context = serviceContext(it.name);
