Keep only the order of held requests of the fair shares

Bound what is divided by the room of the engines, as nodes overfill them in the first tenths of a second of a jump.

--- a/modules/queueing/admission.cpp
+++ b/modules/queueing/admission.cpp
@@ -24,11 +24,6 @@
 constexpr double kScarcePreferredUpstreamHold = 0.4;
 // Slots are scarce when more than this fraction of the engines has no free slot.
 constexpr double kScarceFullFraction = 0.5;
-// Requests of a workspace above its share leave this part of the queue at an engine to others.
-constexpr int kAboveShareWaitDivisor = 2;
-// Latest time to refuse a request because of its workspace's share, as a divisor of its objective:
-// a caller that waited for longer has lost the time for another attempt.
-constexpr int kMaxEarlyRefusalDivisor = 8;
 
 bool areSlotsScarce(const RequestPlacement &placement)
 {
@@ -50,14 +45,6 @@
     return std::chrono::duration_cast<Duration>(holdFraction * objective);
 }
 
-/** @return the longest wait for the prefill at an engine that a request is sent to. */
-Duration maxPrefillWait(const RequestDemand &demand, Duration objective)
-{
-    return demand.tolerance == PauseTolerance::Tolerant
-                   ? std::max<Duration>(kMaxPrefillWait, objective / kTolerantPrefillWaitDivisor)
-                   : kMaxPrefillWait;
-}
-
 bool isTooLate(const RequestPlacement &placement, const CallerWait &wait)
 {
     const Duration timeToFirstEvent =
@@ -70,22 +57,18 @@
 
 bool hasRoom(const RequestDemand &demand, const RequestPlacement &placement, const CallerWait &wait)
 {
-    return !placement.isFull && !placement.isOverLimit &&
-           placement.wait <= maxPrefillWait(demand, wait.objective);
+    const Duration maxWait =
+            demand.tolerance == PauseTolerance::Tolerant
+                    ? std::max<Duration>(kMaxPrefillWait,
+                                         wait.objective / kTolerantPrefillWaitDivisor)
+                    : kMaxPrefillWait;
+    return !placement.isFull && !placement.isOverLimit && placement.wait <= maxWait;
 }
 
 AdmissionDecision decideAdmission(const RequestDemand &demand, const RequestPlacement &placement,
-                                  const CallerWait &wait, bool lessUrgentSent,
-                                  const ShareState &share)
+                                  const CallerWait &wait, bool lessUrgentSent)
 {
-    const bool engineHasRoom = hasRoom(demand, placement, wait);
-    if (!engineHasRoom && share.isRefusedEarly && !lessUrgentSent &&
-        wait.heldFor <= wait.objective / kMaxEarlyRefusalDivisor)
-        return AdmissionDecision::Refuse;
-    const bool leavesRoom =
-            share.isAboveShare &&
-            placement.wait > maxPrefillWait(demand, wait.objective) / kAboveShareWaitDivisor;
-    const bool roomAvailable = engineHasRoom && !leavesRoom;
+    const bool roomAvailable = hasRoom(demand, placement, wait);
     // A slot at another upstream is left for a while to requests whose shared prompt is cached
     // there.
     if (roomAvailable && wait.heldFor >= preferredUpstreamHold(demand, placement, wait.objective))
--- a/modules/queueing/admission.h
+++ b/modules/queueing/admission.h
@@ -25,15 +25,6 @@
     Duration heldFor{0};
 };
 
-/** How the fair share of a request's workspace affects it. */
-struct ShareState
-{
-    /** Its workspace was given more than its share while requests wait for room. */
-    bool isAboveShare = false;
-    /** Its workspace's share has no room for it, so it is refused before it waits. */
-    bool isRefusedEarly = false;
-};
-
 /** @return true when @p placement can begin to serve the request soon. */
 bool hasRoom(const RequestDemand &demand, const RequestPlacement &placement,
              const CallerWait &wait);
@@ -46,10 +37,8 @@
  * its objective can be met, and refused as soon as it cannot.
  *
  * @param lessUrgentSent true when less urgent requests of the service were sent recently.
- * @param share fair share of the request's workspace.
  */
 AdmissionDecision decideAdmission(const RequestDemand &demand, const RequestPlacement &placement,
-                                  const CallerWait &wait, bool lessUrgentSent,
-                                  const ShareState &share = {});
+                                  const CallerWait &wait, bool lessUrgentSent);
 
 } // namespace hawthornslip
--- a/modules/queueing/workspace_shares.cpp
+++ b/modules/queueing/workspace_shares.cpp
@@ -104,14 +104,6 @@
     return it != m_sums.end() && it->second.given > m_level;
 }
 
-double WorkspaceShares::admittedFraction(std::uint32_t workspace, TimePoint now)
-{
-    if (!isAboveShare(workspace, now))
-        return 1;
-    const double asked = m_sums.at(workspace).asked;
-    return asked > m_level ? m_level / asked : 1;
-}
-
 std::vector<WorkspaceUse> WorkspaceShares::usesForReport(TimePoint now) const
 {
     std::vector<WorkspaceUse> uses;
@@ -143,7 +135,8 @@
         asked.push_back(use.asked);
         capacity += use.given;
     }
-    // While the engines are full, they take what is given to them.
+    // While the engines are full, they take what is given to them, unless it is too much.
+    capacity = std::min(capacity, m_roomPerSecond * toSeconds(kWindow));
     m_level = kLevelMargin * maxMinLevel(std::move(asked), capacity);
 }
 
--- a/modules/queueing/workspace_shares.h
+++ b/modules/queueing/workspace_shares.h
@@ -2,6 +2,7 @@
 
 #include "modules/queueing/workspace_use.h"
 
+#include <limits>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,6 +33,13 @@
     /** Records a request of @p workspace that this node sent to an engine. */
     void onGiven(std::uint32_t workspace, Duration engineTime, TimePoint now);
 
+    /**
+     * Sets the engine time that the engines can take, in seconds per second. It bounds what is
+     * divided when the nodes send more than the engines serve; without it, what was given is
+     * divided.
+     */
+    void setRoom(double perSecond) { m_roomPerSecond = perSecond; }
+
     /** Records that a request found no engine with room. */
     void onNoRoom(TimePoint now);
 
@@ -48,12 +56,6 @@
     /** @return true in need when @p workspace was given more than its share. */
     bool isAboveShare(std::uint32_t workspace, TimePoint now);
 
-    /**
-     * @return the fraction of what @p workspace asks for that its share has room for, from 0 to 1;
-     *         1 unless isAboveShare().
-     */
-    double admittedFraction(std::uint32_t workspace, TimePoint now);
-
     /** @return in need, the largest uses of this node for its peers; nothing otherwise. */
     std::vector<WorkspaceUse> usesForReport(TimePoint now) const;
 
@@ -81,6 +83,7 @@
     std::unordered_map<std::uint32_t, Use> m_sums;
     /** Engine time that each workspace may have within the window, in seconds. */
     double m_level = 0;
+    double m_roomPerSecond = std::numeric_limits<double>::infinity();
     TimePoint m_updatedAt{};
     bool m_isUpdated = false;
     TimePoint m_noRoomAt{};
--- a/servers/gateway/exchange_admission.cpp
+++ b/servers/gateway/exchange_admission.cpp
@@ -2,7 +2,6 @@
 #include "servers/gateway/exchange.h"
 #include "servers/gateway/gateway.h"
 
-#include <random>
 #include <utility>
 
 namespace hawthornslip {
@@ -51,8 +50,7 @@
     recordAsked(now);
     const CallerWait wait{m_route->objective, m_spentBefore, now - m_arrivedAt};
     const AdmissionDecision admission = decideAdmission(
-            m_demand, *placement, wait, m_service->hasSentLessUrgent(m_demand.urgency, now),
-            m_service->shares.stateOf(m_shared, now));
+            m_demand, *placement, wait, m_service->hasSentLessUrgent(m_demand.urgency, now));
     if (m_shared.workspace != 0 && !hasRoom(m_demand, *placement, wait))
         m_service->shares.workspaces().onNoRoom(now);
     if (admission == AdmissionDecision::Send)
@@ -76,12 +74,10 @@
     m_shared.workspace = workspaceInShares();
     if (m_shared.workspace == 0)
         return;
-    m_shared.urgency = m_demand.urgency;
     m_shared.engineTime = m_service->shares.engineTime(m_route->name, m_demand.ownTokens,
                                                        m_service->balancer.peakPrefillRate(),
                                                        m_placement.upstream.slots);
-    m_shared.draw = std::uniform_real_distribution<double>()(m_gateway.random());
-    m_service->shares.onAsked(m_shared, now);
+    m_service->shares.onAsked(m_shared, m_service->balancer.size(), now);
 }
 
 bool Exchange::isQuarantined()
