Judge the fair shares by the stated target

Cause: the test's bound of 0.48 lay between the measured figures with and without shares. A further test compares the order with none.

--- a/tests/servers/gateway/fair_shares_test.cpp
+++ b/tests/servers/gateway/fair_shares_test.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <random>
+#include <utility>
 
 namespace hawthornslip::test {
 
@@ -15,8 +16,8 @@
 constexpr Duration kFirstTarget = seconds(1);
 constexpr Duration kPauseTarget = milliseconds(800);
 constexpr double kUsualPerSecond = 3;
-// Without shares it is 0.39.
-constexpr double kMinOthersInTime = 0.48;
+// The others ask for less than half of what the engines serve; the same target as of HeavyLoadTest.
+constexpr double kMinOthersInTime = 0.95;
 constexpr Duration kCalmTime = seconds(3);
 constexpr Duration kJumpTime = seconds(6);
 
@@ -131,27 +132,45 @@
 {
     CPPUNIT_TEST_SUITE(FairSharesTest);
     CPPUNIT_TEST(othersAreServedBesideAWorkspaceAtManyTimesItsUsual);
+    CPPUNIT_TEST(orderOfHeldRequestsGivesTheOthersMore);
     CPPUNIT_TEST(withRoomForAllNothingChanges);
     CPPUNIT_TEST_SUITE_END();
 
-public:
-    // Guards against one workspace that takes the engine time of the others. Load: it goes from 3
-    // to 100 requests a second, which with the 21 of the others is more than twice what the engines
-    // serve.
-    void othersAreServedBesideAWorkspaceAtManyTimesItsUsual()
+    /** @return the fractions in time of the other workspaces and of the one that jumps. */
+    static std::pair<double, double> playJump(bool withWorkspaces)
     {
-        Simulation simulation(true);
+        Simulation simulation(withWorkspaces);
         simulation.send(kUsualPerSecond, kCalmTime);
         simulation.views.assign(kWorkspaces, {});
         simulation.send(100, kJumpTime);
         simulation.fleet->loop.advance(seconds(16));
-        const double others = simulation.inTime(1, kWorkspaces - 1);
-        const double first = simulation.inTime(0, 0);
+        return {simulation.inTime(1, kWorkspaces - 1), simulation.inTime(0, 0)};
+    }
+
+public:
+    // Guards against one workspace that takes the engine time of the others. Load: it goes from 3
+    // to 100 requests a second, which with the 21 of the others is more than twice what the engines
+    // serve; the others alone are less than half of it.
+    void othersAreServedBesideAWorkspaceAtManyTimesItsUsual()
+    {
+        const auto [others, first] = playJump(true);
         const std::string shares =
                 fmt::format("in time: {:.3f} of the others, {:.3f} of the first", others, first);
         CPPUNIT_ASSERT_MESSAGE(shares, others >= kMinOthersInTime);
+    }
+
+    // Guards against an order of held requests that gives the others no more than none does, or
+    // that leaves engines idle. The load is the same.
+    void orderOfHeldRequestsGivesTheOthersMore()
+    {
+        const auto [others, first] = playJump(true);
+        const auto [othersWithout, firstWithout] = playJump(false);
+        const std::string shares =
+                fmt::format("in time: {:.3f} of the others, {:.3f} without", others, othersWithout);
+        CPPUNIT_ASSERT_MESSAGE(shares, others > othersWithout);
         // Work-conserving: what the others leave is the first one's.
         CPPUNIT_ASSERT_MESSAGE(shares, first >= 0.1);
+        CPPUNIT_ASSERT(firstWithout > 0);
     }
 
     // Guards against shares that change decisions while there is room. Load: one workspace at four
