--- a/modules/duties/duty_election.h
+++ b/modules/duties/duty_election.h
@@ -29,11 +29,7 @@
     /** Sets whether this node competes; false releases the lease. */
     LeaseActions setWanted(bool wanted, TimePoint now);
 
-    /**
-     * Handles the result of ReadLease.
-     *
-     * @param era of the store as the answer names it, if it does.
-     */
+    /** Handles the result of ReadLease; an era that it names is entered. */
     LeaseActions onRead(std::uint64_t operation, const StoreResult &result, TimePoint now);
 
     /** Handles the result of WriteLease. */
