Count and log why callers' connections end and what was on them

The listener reports each end to its sink; the gateway counts it by cause and by the request that was on it and logs those whose caller lacks an answer. Decisions are unchanged. Replaces closing_bytes_dropped and idle_connection_closed; config_in_force names the idle limit.

--- a/core/interfaces/stream_server.h
+++ b/core/interfaces/stream_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/caller_limits.h"
+#include "core/connection_end.h"
 #include "core/interfaces/http_server.h"
 
 #include <cstddef>
@@ -74,6 +75,9 @@
 
     /** Reports invalid input that the listener itself answered with @p status. */
     virtual void onBadInput(int status, std::string_view cause) = 0;
+
+    /** Reports the end of a caller's connection. */
+    virtual void onConnectionEnd(const ConnectionEnd & /*end*/) {}
 };
 
 } // namespace hawthornslip
--- a/core/metric_names.h
+++ b/core/metric_names.h
@@ -28,6 +28,8 @@
 inline constexpr std::string_view kLeases = "hawthornslip_leases_total";
 inline constexpr std::string_view kHeldBytes = "hawthornslip_held_bytes";
 inline constexpr std::string_view kReclaims = "hawthornslip_reclaimed_connections_total";
+inline constexpr std::string_view kCallerConnections =
+        "hawthornslip_caller_connections_ended_total";
 inline constexpr std::string_view kOrders = "hawthornslip_upstream_orders_total";
 inline constexpr std::string_view kUsageReports = "hawthornslip_usage_reports_total";
 inline constexpr std::string_view kUsagePending = "hawthornslip_usage_reports_pending";
@@ -46,7 +48,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<Info, 28> kAll = {{
+inline constexpr std::array<Info, 29> kAll = {{
         {kRequests, Kind::Counter, "Requests by profile, tier and result."},
         {kRefusals, Kind::Counter, "Refused or failed requests by reason and execution."},
         {kRetries, Kind::Counter, "Repeated attempts by profile and reason."},
@@ -70,6 +72,8 @@
         {kLeases, Kind::Counter, "Lease operations by lease and result."},
         {kHeldBytes, Kind::Gauge, "Bytes held for callers and upstreams."},
         {kReclaims, Kind::Counter, "Connections ended because the process held too many bytes."},
+        {kCallerConnections, Kind::Counter,
+         "Ended connections of callers by cause and by the request that was on them."},
         {kOrders, Kind::Counter, "Orders to upstreams by kind and result."},
         {kUsageReports, Kind::Counter, "Reports of usage to the provider by result."},
         {kUsagePending, Kind::Gauge, "Reports of usage that the provider has not accepted yet."},
--- a/drivers/asio/asio_http_server.cpp
+++ b/drivers/asio/asio_http_server.cpp
@@ -31,7 +31,7 @@
     for (auto *list : {&m_idle, &m_busy}) {
         const auto all = *list;
         for (const auto &it : all)
-            it->close();
+            it->close(ConnectionEndCause::ListenerClosed);
     }
 }
 
@@ -120,9 +120,8 @@
 {
     if (connections() < m_maxConnections || m_idle.empty())
         return;
-    logEvent(LogLevel::Warning, "idle_connection_closed", {{"open", connections()}});
     const auto oldest = m_idle.front();
-    oldest->close();
+    oldest->close(ConnectionEndCause::TooManyConnections);
 }
 
 } // namespace hawthornslip
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -62,7 +62,7 @@
     {
         if (isCurrent()) {
             m_connection->m_events.reset();
-            m_connection->close();
+            m_connection->close(ConnectionEndCause::AnswerBroken);
         }
     }
 
@@ -95,11 +95,13 @@
     waitReadable();
 }
 
-void ServerConnection::close()
+void ServerConnection::close(ConnectionEndCause cause)
 {
     if (m_stage == Stage::Closed)
         return;
     const auto self = shared_from_this();
+    if (m_stage != Stage::Closing)
+        m_end = describeEnd(cause);
     auto &list = m_stage == Stage::Answering ? m_server.m_busy : m_server.m_idle;
     list.erase(m_place);
     const bool isIncomplete =
@@ -111,14 +113,37 @@
     if (isIncomplete)
         m_socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
     m_socket.close(ec);
+    m_server.m_sink.onConnectionEnd(m_end);
     if (const auto events = std::exchange(m_events, nullptr); events && !m_answerEnded)
         events->onCallerGone();
 }
 
-void ServerConnection::closeGracefully()
+ConnectionEnd ServerConnection::describeEnd(ConnectionEndCause cause) const
+{
+    ConnectionEnd end{cause, RequestAtEnd::None, m_in.size()};
+    if (m_stage == Stage::Answering && (!m_answerEnded || !m_out.empty()))
+        end.request = m_answerBegun ? RequestAtEnd::PartlyAnswered : RequestAtEnd::Unanswered;
+    else if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
+        end.request = RequestAtEnd::Partial;
+    else if (!m_in.empty())
+        end.request = RequestAtEnd::Following;
+    else if (const std::size_t n = unreadBytes(); n > 0)
+        end = {cause, RequestAtEnd::Unread, n};
+    return end;
+}
+
+std::size_t ServerConnection::unreadBytes() const
+{
+    error_code ec;
+    const std::size_t n = m_socket.available(ec);
+    return ec ? 0 : n;
+}
+
+void ServerConnection::closeGracefully(ConnectionEndCause cause)
 {
     if (m_stage == Stage::Closed || m_stage == Stage::Closing)
         return;
+    m_end = describeEnd(cause);
     enter(Stage::Closing);
     m_in = {};
     m_parser.reset();
@@ -133,10 +158,9 @@
 
 void ServerConnection::closeIfIdle()
 {
-    error_code ec;
     // Bytes that were not read yet may be a request, which gets its answer first.
-    if (m_stage == Stage::Idle && m_in.empty() && m_socket.available(ec) == 0)
-        closeGracefully();
+    if (m_stage == Stage::Idle && m_in.empty() && unreadBytes() == 0)
+        closeGracefully(ConnectionEndCause::Stopping);
 }
 
 void ServerConnection::waitReadable()
@@ -168,7 +192,8 @@
         return;
     }
     if (m_stage == Stage::Closing) {
-        logEvent(LogLevel::Info, "closing_bytes_dropped", {{"bytes", n}});
+        m_end.request = RequestAtEnd::Dropped;
+        m_end.bytes += n;
         waitReadable();
         return;
     }
@@ -183,7 +208,7 @@
 
 void ServerConnection::onPeerClosed()
 {
-    close();
+    close(ConnectionEndCause::CallerClosed);
 }
 
 void ServerConnection::parse()
@@ -271,6 +296,7 @@
     ++m_request;
     m_keepAlive = m_parser->keep_alive();
     m_withoutBody = m_parser->request.method == "HEAD";
+    m_answerBegun = false;
     m_answerEnded = false;
     m_endsWithClose = false;
     m_requestBytes = m_parser->heldBytes();
@@ -299,7 +325,7 @@
     } catch (const std::exception &error) {
         // Whether the request has run is unknown, so the caller gets no status.
         logEvent(LogLevel::Error, "unexpected_error", {{"error", error.what()}});
-        close();
+        close(ConnectionEndCause::HandlerFailed);
         return nullptr;
     }
 }
@@ -328,7 +354,7 @@
     if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
         refuseFull();
     else
-        close();
+        close(ConnectionEndCause::MemoryFull);
 }
 
 void ServerConnection::updateCharge()
@@ -376,9 +402,9 @@
     if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
         refuse(kRequestTimeout, "request_too_slow");
     else if (m_stage == Stage::Idle)
-        closeGracefully();
+        closeGracefully(ConnectionEndCause::IdleTimeout);
     else
-        close();
+        close(m_end.cause);
 }
 
 } // namespace hawthornslip
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -20,10 +20,10 @@
     void start(AsioHttpServer::Connections::iterator place);
 
     /** Closes the connection at once. */
-    void close();
+    void close(ConnectionEndCause cause);
 
     /** Sends what is left, then closes without losing the caller's view of it. */
-    void closeGracefully();
+    void closeGracefully(ConnectionEndCause cause);
 
     /** Closes the connection gracefully if no byte of a request has arrived. */
     void closeIfIdle();
@@ -60,6 +60,10 @@
     void updateCharge();
     void finishRequest();
 
+    /** @return how the connection would end now. */
+    ConnectionEnd describeEnd(ConnectionEndCause cause) const;
+    std::size_t unreadBytes() const;
+
     void enter(Stage stage);
     void setDeadline(Duration span);
     void onDeadline();
@@ -86,9 +90,12 @@
     bool m_keepAlive = true;
     bool m_chunked = false;
     bool m_withoutBody = false;
+    bool m_answerBegun = false;
     bool m_answerEnded = false;
     /** The answer has neither a length nor chunks: only a reset shows that it is incomplete. */
     bool m_endsWithClose = false;
+    /** Set when the connection begins to close. */
+    ConnectionEnd m_end;
 
     TimerId m_timer = 0;
     TimePoint m_timerDue{};
--- a/drivers/asio/server_connection_answer.cpp
+++ b/drivers/asio/server_connection_answer.cpp
@@ -39,7 +39,7 @@
     std::string answer;
     appendAnswerHead(answer, status, headers);
     send(answer + "\r\n" + body);
-    closeGracefully();
+    closeGracefully(ConnectionEndCause::InputRefused);
 }
 
 void ServerConnection::refuseFull()
@@ -64,6 +64,7 @@
         head += "Connection: close\r\n";
     head += "\r\n";
     m_withoutBody = m_withoutBody || !hasBody(status);
+    m_answerBegun = true;
     send(head);
 }
 
@@ -91,7 +92,7 @@
 void ServerConnection::finishRequest()
 {
     if (!m_keepAlive) {
-        closeGracefully();
+        closeGracefully(ConnectionEndCause::LastAnswer);
         return;
     }
     enter(Stage::Idle);
@@ -159,7 +160,9 @@
 {
     // The caller of send() still uses this connection, so it closes once that has returned.
     m_out.clear();
-    boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] { self->close(); });
+    boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] {
+        self->close(ConnectionEndCause::CallerClosed);
+    });
 }
 
 void ServerConnection::onFlushed()
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -91,6 +91,16 @@
         logEvent(LogLevel::Warning, "bad_input", {{"status", status}, {"cause", cause}});
 }
 
+void Gateway::onConnectionEnd(const ConnectionEnd &end)
+{
+    const auto cause = nameOf(kConnectionEndCauseNames, end.cause);
+    const auto request = nameOf(kRequestAtEndNames, end.request);
+    m_parts.metrics.count(metric::kCallerConnections, {{"cause", cause}, {"request", request}});
+    if (isWithoutAnswer(end) && mayLogRequest(LogLevel::Warning))
+        logEvent(LogLevel::Warning, "caller_connection_ended",
+                 {{"cause", cause}, {"request", request}, {"bytes", end.bytes}});
+}
+
 void Gateway::applySettings(const GatewaySettings &settings)
 {
     m_settings = settings;
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -53,6 +53,7 @@
     CallerLimits limits() const override;
     bool isStopping() const override { return m_stopping; }
     void onBadInput(int status, std::string_view cause) override;
+    void onConnectionEnd(const ConnectionEnd &end) override;
 
     /** @return true when this node is ready for new connections. */
     bool isReady() const;
--- a/servers/state/router_state.cpp
+++ b/servers/state/router_state.cpp
@@ -85,7 +85,8 @@
               {"before", before},
               {"routes", config.routes.size()},
               {"needs_keys", config.workspaces.has_value()},
-              {"workspaces", config.workspaces ? config.workspaces->size() : 0}});
+              {"workspaces", config.workspaces ? config.workspaces->size() : 0},
+              {"idle_timeout_ms", toMillis(config.limits.idleTimeout)}});
     notifyChanged();
 }
 
--- a/tests/support/asio_loopback.h
+++ b/tests/support/asio_loopback.h
@@ -39,6 +39,7 @@
     CallerLimits limits() const override { return callerLimits; }
     bool isStopping() const override { return stopping; }
     void onBadInput(int status, std::string_view) override { badInput.push_back(status); }
+    void onConnectionEnd(const ConnectionEnd &end) override { ends.push_back(end); }
 
     struct Events : public CallerEvents
     {
@@ -50,6 +51,7 @@
     std::vector<HttpRequest> requests;
     std::vector<std::shared_ptr<ResponseWriter>> writers;
     std::vector<int> badInput;
+    std::vector<ConnectionEnd> ends;
     std::shared_ptr<Events> events;
     std::function<void(const HttpRequest &, ResponseWriter &)> answer;
     CallerLimits callerLimits;
