--- /dev/null
+++ b/tests/drivers/asio/kept_connection_test.cpp
@@ -0,0 +1,98 @@
+#include "tests/support/asio_loopback.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace hawthornslip::test {
+
+namespace {
+
+const std::string kRequest = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string kNext = "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+/** Requests on connections that callers keep open between them. */
+class KeptConnectionTest : public AsioLoopbackFixture
+{
+    CPPUNIT_TEST_SUITE(KeptConnectionTest);
+    CPPUNIT_TEST(requestThatCrossesTheIdleCloseIsLeftUnread);
+    CPPUNIT_TEST(requestThatCrossesTheCloseOfAStopIsLeftUnread);
+    CPPUNIT_TEST(requestInTheSocketAsTheLimitPassesIsAnswered);
+    CPPUNIT_TEST(requestInTheSocketAsItsTimeLimitPassesIsAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a request that is read whole and gets neither an answer nor a refusal.
+    void requestThatCrossesTheIdleCloseIsLeftUnread()
+    {
+        m_sink->callerLimits.idleTimeout = milliseconds(30);
+        auto &peer = connectPeer();
+        peer.send(kRequest);
+        peer.expect("X-Path: /1");
+        peer.expectClosed();
+        expectReset(peer, ConnectionEndCause::IdleTimeout);
+    }
+
+    void requestThatCrossesTheCloseOfAStopIsLeftUnread()
+    {
+        auto &peer = connectPeer();
+        peer.send(kRequest);
+        peer.expect("X-Path: /1");
+        m_sink->stopping = true;
+        m_server->closeIdle();
+        peer.expectClosed();
+        expectReset(peer, ConnectionEndCause::Stopping);
+    }
+
+    // Guards against a request that arrived in time and is dropped because the process was late.
+    void requestInTheSocketAsTheLimitPassesIsAnswered()
+    {
+        m_sink->callerLimits.idleTimeout = milliseconds(50);
+        auto &peer = connectPeer();
+        peer.send(kRequest);
+        peer.expect("X-Path: /1");
+        // Both are due when the loop runs again, so that it does not look at the socket in between.
+        m_loop->after(milliseconds(20), [&peer] { peer.send(kNext); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        peer.expect("X-Path: /2");
+    }
+
+    void requestInTheSocketAsItsTimeLimitPassesIsAnswered()
+    {
+        m_sink->callerLimits.headerTimeout = milliseconds(50);
+        auto &peer = connectPeer();
+        peer.send(kRequest.substr(0, 10));
+        m_loop->context().run_for(std::chrono::milliseconds(10));
+        // Both are due when the loop runs again, so that it does not look at the socket in between.
+        m_loop->after(milliseconds(20), [&peer] { peer.send(kRequest.substr(10)); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        peer.expect("X-Path: /1");
+    }
+
+private:
+    /** Sends a request on a connection that the server has begun to close. */
+    void expectReset(RawPeer &peer, ConnectionEndCause cause)
+    {
+        peer.send(kNext);
+        runUntil(*m_loop, [this] { return !m_sink->ends.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string(nameOf(kConnectionEndCauseNames, cause)),
+                             std::string(nameOf(kConnectionEndCauseNames, m_sink->ends[0].cause)));
+        CPPUNIT_ASSERT_EQUAL(std::string(nameOf(kRequestAtEndNames, RequestAtEnd::Unread)),
+                             std::string(nameOf(kRequestAtEndNames, m_sink->ends[0].request)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_sink->requests.size());
+        std::array<char, 1> byte{};
+        boost::system::error_code ec;
+        peer.socket.non_blocking(false);
+        peer.socket.read_some(boost::asio::buffer(byte), ec);
+        CPPUNIT_ASSERT(ec == boost::asio::error::connection_reset);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeptConnectionTest);
+
+} // namespace hawthornslip::test
