Tell callers how long a connection is kept, and keep it that long

A connection closed by the idle limit that was in force when it became idle: a limit that the operator raised meanwhile, or the one in force when a long answer began, did not count, although callers may go by either. Nothing told callers which limit the node goes by.

Evidence: KeptConnectionTest, three new cases fail on the code before (7 run, 3 failed) and hold now (7 of 7).

--- a/core/caller_limits.h
+++ b/core/caller_limits.h
@@ -15,4 +15,13 @@
     Duration idleTimeout = seconds(15);
 };
 
+/**
+ * @return how long callers may keep a connection idle before they use it again: a request that is
+ *         sent later may cross the close of the connection.
+ */
+constexpr Duration reusableFor(Duration idleTimeout)
+{
+    return idleTimeout * 4 / 5;
+}
+
 } // namespace hawthornslip
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -91,7 +91,7 @@
 void ServerConnection::start(AsioHttpServer::Connections::iterator place)
 {
     m_place = place;
-    setDeadline(m_server.m_sink.limits().idleTimeout);
+    becomeIdle();
     waitReadable();
 }
 
@@ -407,6 +407,24 @@
     to.splice(to.end(), from, m_place);
 }
 
+void ServerConnection::becomeIdle()
+{
+    m_idleSince = m_server.m_loop.now();
+    m_idleLimit = std::max(m_server.m_sink.limits().idleTimeout, std::exchange(m_namedLimit, {}));
+    setDeadline(m_idleLimit);
+}
+
+void ServerConnection::closeIfOverIdleLimit()
+{
+    // Callers may go by the limit that has come into force meanwhile.
+    m_idleLimit = std::max(m_idleLimit, m_server.m_sink.limits().idleTimeout);
+    const Duration left = m_idleSince + m_idleLimit - m_server.m_loop.now();
+    if (left > Duration(0))
+        setDeadline(left);
+    else
+        closeGracefully(ConnectionEndCause::IdleTimeout);
+}
+
 void ServerConnection::setDeadline(Duration span)
 {
     m_deadline = m_server.m_loop.now() + span;
@@ -438,7 +456,7 @@
     if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
         refuse(kRequestTimeout, "request_too_slow");
     else if (m_stage == Stage::Idle)
-        closeGracefully(ConnectionEndCause::IdleTimeout);
+        closeIfOverIdleLimit();
     else
         close(m_end.cause);
 }
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -53,6 +53,8 @@
     void onParseError(const RequestParser::Error &ec);
 
     void beginAnswer(int status, const HttpHeaders &headers, std::optional<std::size_t> length);
+    /** Tells the caller in an answer's head for how long it may keep the connection idle. */
+    void nameIdleLimit(std::string &head);
     void writeBody(std::string_view piece);
     void endAnswer();
     void send(std::string_view bytes);
@@ -72,6 +74,8 @@
 
     void enter(Stage stage);
     void setDeadline(Duration span);
+    void becomeIdle();
+    void closeIfOverIdleLimit();
     void onDeadline();
 
     AsioHttpServer &m_server;
@@ -103,6 +107,12 @@
     /** Set when the connection begins to close. */
     ConnectionEnd m_end;
 
+    TimePoint m_idleSince{};
+    /** The longest limit that callers may go by while the connection is idle. */
+    Duration m_idleLimit{0};
+    /** The limit behind the time that the current answer names. */
+    Duration m_namedLimit{0};
+
     TimerId m_timer = 0;
     TimePoint m_timerDue{};
     TimePoint m_deadline = TimePoint::max();
--- a/drivers/asio/server_connection_answer.cpp
+++ b/drivers/asio/server_connection_answer.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -60,7 +61,9 @@
         head += fmt::format("Content-Length: {}\r\n", *length);
     else if (m_chunked && hasBody(status))
         head += "Transfer-Encoding: chunked\r\n";
-    if (!m_keepAlive)
+    if (m_keepAlive)
+        nameIdleLimit(head);
+    else
         head += "Connection: close\r\n";
     head += "\r\n";
     m_withoutBody = m_withoutBody || !hasBody(status);
@@ -68,6 +71,15 @@
     send(head);
 }
 
+void ServerConnection::nameIdleLimit(std::string &head)
+{
+    m_namedLimit = m_server.m_sink.limits().idleTimeout;
+    // Without a whole second the header would tell callers not to use the connection again.
+    const auto n = std::chrono::floor<std::chrono::seconds>(reusableFor(m_namedLimit)).count();
+    if (n > 0)
+        head += fmt::format("Keep-Alive: timeout={}\r\n", n);
+}
+
 void ServerConnection::writeBody(std::string_view piece)
 {
     if (piece.empty() || m_withoutBody)
@@ -97,7 +109,7 @@
     }
     enter(Stage::Idle);
     updateCharge();
-    setDeadline(m_server.m_sink.limits().idleTimeout);
+    becomeIdle();
     waitReadable();
     if (!m_in.empty()) {
         boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] {
--- a/tests/drivers/asio/kept_connection_test.cpp
+++ b/tests/drivers/asio/kept_connection_test.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(requestThatCrossesTheCloseOfAStopIsLeftUnread);
     CPPUNIT_TEST(requestInTheSocketAsTheLimitPassesIsAnswered);
     CPPUNIT_TEST(requestInTheSocketAsItsTimeLimitPassesIsAnswered);
+    CPPUNIT_TEST(raisedIdleLimitHoldsForConnectionsThatAreIdle);
+    CPPUNIT_TEST(loweredIdleLimitDoesNotBreakWhatAnAnswerSaid);
+    CPPUNIT_TEST(answersNameHowLongTheirConnectionIsKept);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +76,49 @@
         peer.expect("X-Path: /1");
     }
 
+    // Guards against a limit that callers no longer go by.
+    void raisedIdleLimitHoldsForConnectionsThatAreIdle()
+    {
+        m_sink->callerLimits.idleTimeout = milliseconds(50);
+        auto &peer = connectPeer();
+        peer.send(kRequest);
+        peer.expect("X-Path: /1");
+        m_sink->callerLimits.idleTimeout = seconds(10);
+        m_loop->context().run_for(std::chrono::milliseconds(200));
+        peer.send(kNext);
+        peer.expect("X-Path: /2");
+    }
+
+    // Guards against an answer whose caller is told of a limit that has been lowered when it ends.
+    void loweredIdleLimitDoesNotBreakWhatAnAnswerSaid()
+    {
+        m_sink->callerLimits.idleTimeout = milliseconds(1500);
+        m_sink->answer = nullptr;
+        auto &peer = connectPeer();
+        peer.send(kRequest);
+        runUntil(*m_loop, [this] { return m_sink->writers.size() == 1; });
+        m_sink->writers[0]->begin(200, {{"X-Path", "/1"}}, std::nullopt);
+        peer.expect("Keep-Alive: timeout=1\r\n");
+        m_sink->callerLimits.idleTimeout = milliseconds(50);
+        m_sink->writers[0]->end();
+        m_sink->answer = answerOk;
+        m_loop->context().run_for(std::chrono::milliseconds(300));
+        peer.send(kNext);
+        peer.expect("X-Path: /2");
+    }
+
+    void answersNameHowLongTheirConnectionIsKept()
+    {
+        m_sink->callerLimits.idleTimeout = seconds(15);
+        auto &peer = connectPeer();
+        peer.send(kRequest);
+        peer.expect("Keep-Alive: timeout=12\r\n");
+        auto &last = connectPeer();
+        last.send("GET /3 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        last.expect("Connection: close\r\n");
+        CPPUNIT_ASSERT(last.received.find("Keep-Alive") == std::string::npos);
+    }
+
 private:
     /** Sends a request on a connection that the server has begun to close. */
     void expectReset(RawPeer &peer, ConnectionEndCause cause)
