Make room only of connections without a request

With as many connections as its descriptors allow, the listener closed the one that had been idle for longest at once, also one with a request in its socket or half read: its caller got neither an answer nor a refusal. Now it closes one of the sixteen oldest that has no byte of a request, and otherwise refuses the oldest request that is still being read with 503, which has not run.

--- a/drivers/asio/asio_http_server.cpp
+++ b/drivers/asio/asio_http_server.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include <vector>
+
 namespace hawthornslip {
 
 namespace {
@@ -14,6 +16,8 @@
 constexpr Duration kAcceptPause = milliseconds(20);
 // Callers that take no byte for this long are gone; the platform bounds an answer by 15 s.
 constexpr Duration kCallerSilence = seconds(9);
+// Connections that are looked at to make room for a new one; each look is a system call.
+constexpr std::size_t kMaxRoomCandidates = 16;
 
 } // namespace
 
@@ -118,10 +122,20 @@
 
 void AsioHttpServer::makeRoom()
 {
-    if (connections() < m_maxConnections || m_idle.empty())
+    if (connections() < m_maxConnections)
         return;
-    const auto oldest = m_idle.front();
-    oldest->close(ConnectionEndCause::TooManyConnections);
+    // Closing a connection takes it out of the list.
+    std::vector<std::shared_ptr<ServerConnection>> oldest;
+    for (auto it = m_idle.begin(); it != m_idle.end() && oldest.size() < kMaxRoomCandidates; ++it)
+        oldest.push_back(*it);
+    for (const auto &it : oldest) {
+        if (it->closeToMakeRoom())
+            return;
+    }
+    for (const auto &it : oldest) {
+        if (it->refuseToMakeRoom())
+            return;
+    }
 }
 
 } // namespace hawthornslip
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t kBodyChargedApart = 16 << 10;
 constexpr int kHeadersTooLarge = 431;
 constexpr int kHttp11 = 11;
+constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 
 } // namespace
@@ -158,11 +159,32 @@
 
 void ServerConnection::closeIfIdle()
 {
-    // Bytes that were not read yet may be a request, which gets its answer first.
-    if (m_stage == Stage::Idle && m_in.empty() && unreadBytes() == 0)
+    if (isWithoutRequest())
         closeGracefully(ConnectionEndCause::Stopping);
 }
 
+bool ServerConnection::closeToMakeRoom()
+{
+    if (m_stage != Stage::Closing && !isWithoutRequest())
+        return false;
+    close(ConnectionEndCause::TooManyConnections);
+    return true;
+}
+
+bool ServerConnection::refuseToMakeRoom()
+{
+    if (m_stage != Stage::ReadingHead && m_stage != Stage::ReadingBody)
+        return false;
+    refuse(kUnavailable, "too_many_connections");
+    return true;
+}
+
+bool ServerConnection::isWithoutRequest() const
+{
+    // Bytes that were not read yet may be a request, which gets its answer first.
+    return m_stage == Stage::Idle && m_in.empty() && unreadBytes() == 0;
+}
+
 void ServerConnection::waitReadable()
 {
     if (m_waitingReadable || m_stage == Stage::Closed)
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -28,6 +28,16 @@
     /** Closes the connection gracefully if no byte of a request has arrived. */
     void closeIfIdle();
 
+    /**
+     * Closes the connection at once if no request is on it, to make room for another one.
+     *
+     * @return true when it closed.
+     */
+    bool closeToMakeRoom();
+
+    /** Refuses the request that is being read. @return false when none is. */
+    bool refuseToMakeRoom();
+
     void reclaimBytes() override;
 
 private:
@@ -69,6 +79,8 @@
     ConnectionEnd describeEnd(ConnectionEndCause cause) const;
     /** @return bytes that are in the socket. */
     std::size_t unreadBytes() const;
+    /** @return true when no byte of a request has arrived. */
+    bool isWithoutRequest() const;
     /** @return true when the connection closes between two requests. */
     bool closesIdle() const;
 
--- a/tests/drivers/asio/kept_connection_test.cpp
+++ b/tests/drivers/asio/kept_connection_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(raisedIdleLimitHoldsForConnectionsThatAreIdle);
     CPPUNIT_TEST(loweredIdleLimitDoesNotBreakWhatAnAnswerSaid);
     CPPUNIT_TEST(answersNameHowLongTheirConnectionIsKept);
+    CPPUNIT_TEST(roomIsNotMadeOfConnectionsWithARequest);
+    CPPUNIT_TEST(partOfARequestIsRefusedToMakeRoom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,7 +121,44 @@
         CPPUNIT_ASSERT(last.received.find("Keep-Alive") == std::string::npos);
     }
 
+    // Guards against a request that is dropped because a newer connection needs the room.
+    void roomIsNotMadeOfConnectionsWithARequest()
+    {
+        limitConnections(2);
+        auto &oldest = connectPeer();
+        auto &idle = connectPeer();
+        for (auto *it : {&oldest, &idle}) {
+            it->send(kRequest);
+            it->expect("X-Path: /1");
+        }
+        // The new connection is ready first, so that the loop takes it before it reads the request.
+        auto &next = connectPeer();
+        oldest.send(kNext);
+        next.send(kRequest);
+        oldest.expect("X-Path: /2");
+        next.expect("X-Path: /1");
+        idle.expectClosed();
+    }
+
+    void partOfARequestIsRefusedToMakeRoom()
+    {
+        limitConnections(1);
+        auto &part = connectPeer();
+        part.send(kRequest.substr(0, 10));
+        m_loop->context().run_for(std::chrono::milliseconds(20));
+        auto &next = connectPeer();
+        next.send(kRequest);
+        next.expect("X-Path: /1");
+        part.expect("HTTP/1.1 503");
+    }
+
 private:
+    void limitConnections(std::size_t n)
+    {
+        m_server = std::make_unique<AsioHttpServer>(*m_loop, *m_sink, n);
+        CPPUNIT_ASSERT(m_server->start({"127.0.0.1", 0}));
+    }
+
     /** Sends a request on a connection that the server has begun to close. */
     void expectReset(RawPeer &peer, ConnectionEndCause cause)
     {
