Answer a request that has to give its bytes back

When the process held too many bytes, a connection whose request had no answer yet was closed without one, although nothing kept the node from refusing it. The listener now asks the request for its final answer first: 503 memory_full if it has not run, 502 otherwise; a held call for state is refused, and the connection closes after the answer. An answer that has begun is still broken off.

Evidence: ByteBoundsTest::requestThatMakesWayForOthersIsAnswered fails with the step left out and holds with it, as does ExchangeTest::requestsWithoutAnswerAreRefusedWhenMemoryIsFull (new call). The loopback fixture drops writers before the loop that they refer to.

--- a/core/interfaces/stream_server.h
+++ b/core/interfaces/stream_server.h
@@ -50,6 +50,12 @@
 
     /** Everything written so far has been sent to the caller. */
     virtual void onSendBufferEmpty() = 0;
+
+    /**
+     * The process holds too many bytes. A request whose answer has not begun should get its final
+     * answer now; without one its connection closes.
+     */
+    virtual void onMemoryFull() {}
 };
 
 /** Handles the requests of a listener; called on the event loop's thread. */
--- a/core/reasons.h
+++ b/core/reasons.h
@@ -30,6 +30,7 @@
     BodyTooLarge,
     RateLimited,
     TooManyConnections,
+    MemoryFull,
     QueueFull,
     PromptQuarantined,
     DeadlineUnreachable,
@@ -62,7 +63,7 @@
     int httpStatus;
 };
 
-inline constexpr std::array<ReasonInfo, 33> kReasons = {{
+inline constexpr std::array<ReasonInfo, 34> kReasons = {{
         {Reason::None, "none", 200},
         {Reason::Unauthenticated, "unauthenticated", 401},
         {Reason::UnknownRoute, "unknown_route", 404},
@@ -74,6 +75,7 @@
         {Reason::BodyTooLarge, "body_too_large", 413},
         {Reason::RateLimited, "rate_limited", 429},
         {Reason::TooManyConnections, "too_many_connections", 503},
+        {Reason::MemoryFull, "memory_full", 503},
         {Reason::QueueFull, "queue_full", 503},
         {Reason::PromptQuarantined, "prompt_quarantined", 503},
         {Reason::DeadlineUnreachable, "deadline_unreachable", 503},
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -406,10 +406,20 @@
     // The request that is being read has not run, so its caller can be told so.
     if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
         refuseFull();
-    else
+    else if (!answerMemoryFull())
         close(ConnectionEndCause::MemoryFull);
 }
 
+bool ServerConnection::answerMemoryFull()
+{
+    if (m_stage != Stage::Answering || m_answerBegun || !m_events)
+        return false;
+    m_keepAlive = false;
+    const auto events = m_events;
+    events->onMemoryFull();
+    return m_answerEnded;
+}
+
 void ServerConnection::updateCharge()
 {
     if (m_stage != Stage::Closed)
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -72,6 +72,8 @@
     void onWriteFailed();
     void onFlushed();
     void giveBytesBack();
+    /** Lets the open request end with an answer. @return false when there was none. */
+    bool answerMemoryFull();
     void updateCharge();
     void finishRequest();
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -492,6 +492,12 @@
         m_call->resume();
 }
 
+void Exchange::onMemoryFull()
+{
+    if (!m_relay.hasBegun())
+        end(Reason::MemoryFull);
+}
+
 Duration Exchange::timeLeft() const
 {
     return std::max(Duration(0), m_deadline - m_gateway.parts().loop.now());
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -37,6 +37,7 @@
 
     void onCallerGone() override;
     void onSendBufferEmpty() override;
+    void onMemoryFull() override;
 
 private:
     class Attempt;
--- a/servers/state/state_relay.cpp
+++ b/servers/state/state_relay.cpp
@@ -57,6 +57,11 @@
 
     void onCallerGone() override { m_relay.drop(m_state, m_call); }
     void onSendBufferEmpty() override {}
+    void onMemoryFull() override
+    {
+        m_relay.drop(m_state, m_call);
+        m_relay.refuse(*m_call, kUnavailable);
+    }
 
 private:
     StateRelay &m_relay;
--- a/tests/drivers/asio/byte_bounds_test.cpp
+++ b/tests/drivers/asio/byte_bounds_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(refusesAChunkedBodyOnceItIsLarge);
     CPPUNIT_TEST(servesASmallRequestWhileLargeOnesAreRefused);
     CPPUNIT_TEST(asksTheStoppedBodyToGiveWay);
+    CPPUNIT_TEST(requestThatMakesWayForOthersIsAnswered);
     CPPUNIT_TEST(chargesNothingAfterAnAnswer);
     CPPUNIT_TEST(sendsALargeSharedBodyWhole);
     CPPUNIT_TEST(boundsTrailersOfAnUpstream);
@@ -130,6 +131,23 @@
         m_account->release(2 * kMiB);
     }
 
+    // Guards against a request that ends without an answer because the process holds too much.
+    void requestThatMakesWayForOthersIsAnswered()
+    {
+        m_sink->answer = nullptr;
+        auto &open = connectPeer();
+        open.send("GET /open HTTP/1.1\r\nHost: x\r\nX: " + std::string(15 << 10, 'x') + "\r\n\r\n");
+        runUntil(*m_loop, [this] { return !m_sink->writers.empty(); });
+        m_account->hold(6 * kMiB);
+        m_sink->answer = answerOk;
+        auto &small = connectPeer();
+        small.send("GET /small HTTP/1.1\r\nHost: x\r\nX: " + std::string(5 << 10, 'x') +
+                   "\r\n\r\n");
+        open.expect("HTTP/1.1 503");
+        open.expect("Connection: close");
+        m_account->release(6 * kMiB);
+    }
+
     // Guards against a sum that grows with each request until everyone is refused.
     void chargesNothingAfterAnAnswer()
     {
--- a/tests/servers/gateway/exchange_test.cpp
+++ b/tests/servers/gateway/exchange_test.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(answers503BeforeAnyConfiguration);
     CPPUNIT_TEST(refusesNewRequestsBeforeStop);
     CPPUNIT_TEST(openRequestsAreAnsweredAtTheEndOfTheGrace);
+    CPPUNIT_TEST(requestsWithoutAnswerAreRefusedWhenMemoryIsFull);
     CPPUNIT_TEST(doesNotRetryNonIdempotentThatMayHaveRun);
     CPPUNIT_TEST(retriesRefusedNonIdempotent);
     CPPUNIT_TEST(upstreamThatSaysItLeavesGetsNoNewRequests);
@@ -277,6 +278,21 @@
         CPPUNIT_ASSERT_EQUAL(calls, m_client.calls.size());
     }
 
+    // Guards against a refusal that says "not run" of a request that may have run, and against one
+    // that cuts into an answer.
+    void requestsWithoutAnswerAreRefusedWhenMemoryIsFull()
+    {
+        const auto sent = call("/order/1");
+        m_fleet->endLastForMemory();
+        CPPUNIT_ASSERT_EQUAL(502, sent->status);
+        CPPUNIT_ASSERT(sent->ended && sent->body.find("\"memory_full\"") != std::string::npos);
+        const auto stream = call("/chat/1");
+        m_client.calls.back()->handler->onHeaders(200, kProvenStream);
+        m_client.calls.back()->handler->onData(kTwoEvents);
+        m_fleet->endLastForMemory();
+        CPPUNIT_ASSERT(!stream->ended && !stream->aborted);
+    }
+
     // Guards against a node that answers 404 or 401 because it has not received a configuration.
     void answers503BeforeAnyConfiguration()
     {
--- a/tests/support/asio_loopback.h
+++ b/tests/support/asio_loopback.h
@@ -31,6 +31,7 @@
     {
         requests.push_back(request);
         events = std::make_shared<Events>();
+        events->writer = writer;
         if (answer)
             answer(request, *writer);
         writers.push_back(std::move(writer));
@@ -46,6 +47,13 @@
         bool gone = false;
         void onCallerGone() override { gone = true; }
         void onSendBufferEmpty() override {}
+        void onMemoryFull() override
+        {
+            writer->begin(503, {}, 0);
+            writer->end();
+        }
+
+        std::shared_ptr<ResponseWriter> writer;
     };
 
     std::vector<HttpRequest> requests;
@@ -168,6 +176,9 @@
         m_client.reset();
         m_acceptor.reset();
         m_server.reset();
+        // Writers keep their connections, which must not outlive the loop.
+        m_sink->writers.clear();
+        m_sink->events.reset();
         m_loop.reset();
         m_sink.reset();
     }
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -121,6 +121,9 @@
         return view;
     }
 
+    /** Tells the last request that the process holds too many bytes. */
+    void endLastForMemory() { m_events.back()->onMemoryFull(); }
+
     /** Lets the caller of the last request leave. */
     void leaveLast() { m_events.back()->onCallerGone(); }
 
