Refuse requests that are half read when the process ends

At the end of the grace, requests that were still being read were cut off with the process, as those with an exchange once were. They get 503 draining now, which is true: nothing of them has run.

--- a/drivers/asio/asio_http_server.cpp
+++ b/drivers/asio/asio_http_server.cpp
@@ -95,6 +95,13 @@
         it->closeIfIdle();
 }
 
+void AsioHttpServer::refuseUnfinished(std::string_view cause)
+{
+    const auto all = m_idle;
+    for (const auto &it : all)
+        it->refuseUnfinished(cause);
+}
+
 void AsioHttpServer::accept()
 {
     m_acceptor.async_accept(
@@ -133,7 +140,7 @@
             return;
     }
     for (const auto &it : oldest) {
-        if (it->refuseToMakeRoom())
+        if (it->refuseUnfinished("too_many_connections"))
             return;
     }
 }
--- a/drivers/asio/asio_http_server.h
+++ b/drivers/asio/asio_http_server.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <list>
 #include <memory>
+#include <string_view>
 
 namespace hawthornslip {
 
@@ -37,6 +38,9 @@
     /** Closes all connections on which no part of a request has arrived. */
     void closeIdle();
 
+    /** Refuses the requests that were not read whole, because the process ends now. */
+    void refuseUnfinished(std::string_view cause);
+
     /** @return connections that are open. */
     std::size_t connections() const { return m_idle.size() + m_busy.size(); }
     /** @return requests whose answer was not yet sent whole. */
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -171,11 +171,11 @@
     return true;
 }
 
-bool ServerConnection::refuseToMakeRoom()
+bool ServerConnection::refuseUnfinished(std::string_view cause)
 {
     if (m_stage != Stage::ReadingHead && m_stage != Stage::ReadingBody)
         return false;
-    refuse(kUnavailable, "too_many_connections");
+    refuse(kUnavailable, cause);
     return true;
 }
 
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hawthornslip {
 
@@ -35,8 +36,8 @@
      */
     bool closeToMakeRoom();
 
-    /** Refuses the request that is being read. @return false when none is. */
-    bool refuseToMakeRoom();
+    /** Refuses the request that is being read with 503. @return false when none is. */
+    bool refuseUnfinished(std::string_view cause);
 
     void reclaimBytes() override;
 
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "main/gateway_process.h"
 
 #include "core/logger.h"
+#include "core/reasons.h"
 #include "platform/object_feed.h"
 
 #include <fmt/format.h>
@@ -384,6 +385,7 @@
     if (isGraceOver && !std::exchange(m_hasEndedRequests, true)) {
         // Their answers are sent until the next tick.
         m_gateway.endRequests();
+        m_callerServer.refuseUnfinished(nameOf(Reason::Draining));
         return;
     }
     if (isGraceOver || m_callerServer.connections() == 0)
--- a/tests/drivers/asio/kept_connection_test.cpp
+++ b/tests/drivers/asio/kept_connection_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(answersNameHowLongTheirConnectionIsKept);
     CPPUNIT_TEST(roomIsNotMadeOfConnectionsWithARequest);
     CPPUNIT_TEST(partOfARequestIsRefusedToMakeRoom);
+    CPPUNIT_TEST(partOfARequestIsRefusedAtTheEndOfAStop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +153,17 @@
         part.expect("HTTP/1.1 503");
     }
 
+    void partOfARequestIsRefusedAtTheEndOfAStop()
+    {
+        auto &part = connectPeer();
+        part.send(kRequest.substr(0, 10));
+        m_loop->context().run_for(std::chrono::milliseconds(20));
+        m_sink->stopping = true;
+        m_server->refuseUnfinished("draining");
+        part.expect("HTTP/1.1 503");
+        part.expect("draining");
+    }
+
 private:
     void limitConnections(std::size_t n)
     {
