Answer requests whose handler fails

An unexpected error while a request was handled closed its connection without an answer. The caller gets 500 internal with execution may_have_run, which promises nothing, unless the answer had begun.

Evidence: MisbehavingPeerTest::failingHandlerEndsOnlyItsRequest now asks for the status; it failed on the code before, where nothing was sent.

--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -376,9 +376,8 @@
         return m_server.m_sink.onRequest(std::move(request),
                                          std::make_shared<Answer>(shared_from_this(), m_request));
     } catch (const std::exception &error) {
-        // Whether the request has run is unknown, so the caller gets no status.
         logEvent(LogLevel::Error, "unexpected_error", {{"error", error.what()}});
-        close(ConnectionEndCause::HandlerFailed);
+        answerInternalError();
         return nullptr;
     }
 }
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -60,7 +60,10 @@
     void dispatch();
     std::shared_ptr<CallerEvents> handle(HttpRequest request);
     void refuse(int status, std::string_view cause);
+    void sendLastAnswer(int status, const std::string &body);
     void refuseFull();
+    /** Ends the request that was taken with a status that does not say whether it has run. */
+    void answerInternalError();
     void onParseError(const RequestParser::Error &ec);
 
     void beginAnswer(int status, const HttpHeaders &headers, std::optional<std::size_t> length);
--- a/drivers/asio/server_connection_answer.cpp
+++ b/drivers/asio/server_connection_answer.cpp
@@ -1,3 +1,4 @@
+#include "core/reasons.h"
 #include "drivers/asio/server_connection.h"
 
 #include <boost/asio/buffer.hpp>
@@ -20,6 +21,7 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr int kUnavailable = 503;
+constexpr int kInternalError = 500;
 
 bool hasBody(int status)
 {
@@ -31,7 +33,25 @@
 void ServerConnection::refuse(int status, std::string_view cause)
 {
     m_server.m_sink.onBadInput(status, cause);
-    const std::string body = fmt::format(R"({{"error":"{}"}})", cause);
+    sendLastAnswer(status, fmt::format(R"({{"error":"{}"}})", cause));
+    closeGracefully(ConnectionEndCause::InputRefused);
+}
+
+void ServerConnection::answerInternalError()
+{
+    if (m_answerBegun) {
+        close(ConnectionEndCause::HandlerFailed);
+        return;
+    }
+    const Execution execution = Execution::MayHaveRun;
+    m_answerEnded = true;
+    sendLastAnswer(kInternalError, fmt::format(R"({{"error":"{}","execution":"{}"}})",
+                                               nameOf(Reason::Internal), nameOf(execution)));
+    closeGracefully(ConnectionEndCause::HandlerFailed);
+}
+
+void ServerConnection::sendLastAnswer(int status, const std::string &body)
+{
     HttpHeaders headers = {{"Content-Type", "application/json"},
                            {"Content-Length", std::to_string(body.size())},
                            {"Connection", "close"}};
@@ -40,7 +60,6 @@
     std::string answer;
     appendAnswerHead(answer, status, headers);
     send(answer + "\r\n" + body);
-    closeGracefully(ConnectionEndCause::InputRefused);
 }
 
 void ServerConnection::refuseFull()
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -328,6 +328,8 @@
         failing.send("GET /fails HTTP/1.1\r\nHost: x\r\n\r\n");
         failing.expectClosed();
         CPPUNIT_ASSERT(failing.received.find(" 200 ") == std::string::npos);
+        CPPUNIT_ASSERT(failing.received.starts_with("HTTP/1.1 500 "));
+        CPPUNIT_ASSERT(failing.received.find("may_have_run") != std::string::npos);
         auto &sound = connectPeer();
         sound.send("GET /sound HTTP/1.1\r\nHost: x\r\n\r\n");
         sound.expect("X-Path: /sound");
