Keep connections from one port apart in the daemon's listener

The table knew connections by their client's address. A client that resets a connection and opens one from the same port replaced the entry of a request that still ran; its end was then not found, the request stayed active for ever, and a stop, which waits for active requests, never ended. The table knows connections by libmicrohttpd's handle and keeps the newest of each address beside it.

portThatIsUsedAgainLeavesNoRequestActive fails on the code before (assertion: 1 request active after 5 s) and passes now.

--- a/drivers/http/connection_table.cpp
+++ b/drivers/http/connection_table.cpp
@@ -79,7 +79,9 @@
     if (address == nullptr || info == nullptr)
         return;
     const std::lock_guard lock(m_mutex);
-    m_entries[keyOf(*address)] = Entry{connection, info->connect_fd, false};
+    // A client may open a new connection from the same port before the old one is reported.
+    m_byAddress[keyOf(*address)] = connection;
+    m_entries[connection] = Entry{connection, info->connect_fd, false};
 }
 
 void ConnectionTable::closed(MHD_Connection *connection)
@@ -88,30 +90,28 @@
     if (address == nullptr)
         return;
     const std::lock_guard lock(m_mutex);
-    const auto it = m_entries.find(keyOf(*address));
-    // A client may have opened a new connection from the same port before the old one was reported.
-    if (it != m_entries.end() && it->second.connection == connection)
-        m_entries.erase(it);
+    m_entries.erase(connection);
+    const auto newest = m_byAddress.find(keyOf(*address));
+    if (newest != m_byAddress.end() && newest->second == connection)
+        m_byAddress.erase(newest);
 }
 
 ConnectionTable::Entry ConnectionTable::begin(const sockaddr_in &address)
 {
     const std::lock_guard lock(m_mutex);
-    const auto it = m_entries.find(keyOf(address));
-    if (it == m_entries.end())
+    const auto it = m_byAddress.find(keyOf(address));
+    if (it == m_byAddress.end())
         return {};
-    it->second.active = true;
-    return it->second;
+    Entry &entry = m_entries.at(it->second);
+    entry.active = true;
+    return entry;
 }
 
 bool ConnectionTable::end(MHD_Connection *connection)
 {
-    const auto *address = addressOf(connection);
-    if (address == nullptr)
-        return false;
     const std::lock_guard lock(m_mutex);
-    const auto it = m_entries.find(keyOf(*address));
-    if (it == m_entries.end() || it->second.connection != connection || !it->second.active)
+    const auto it = m_entries.find(connection);
+    if (it == m_entries.end() || !it->second.active)
         return false;
     it->second.active = false;
     return true;
--- a/drivers/http/connection_table.h
+++ b/drivers/http/connection_table.h
@@ -66,7 +66,9 @@
 
 private:
     mutable std::mutex m_mutex;
-    std::unordered_map<std::uint64_t, Entry> m_entries;
+    std::unordered_map<MHD_Connection *, Entry> m_entries;
+    /** The newest connection from each address. */
+    std::unordered_map<std::uint64_t, MHD_Connection *> m_byAddress;
 };
 
 } // namespace hawthornslip
