Count and log how connections to the daemon end

The daemon's listener gave no word of connections that it ended: requests still active when a stop gives up, requests unfinished at the idle time-out, clients that don't read, broken streams, connections that libmicrohttpd closes beyond its limit. The table of connections keeps what was on each and reports its end with the names of core/connection_end.h; the node counts it for callers and operators and logs ends without an answer, 20 lines a second. libmicrohttpd has no notification for connections beyond its limit, so its message is taken. A request on a connection that the table doesn't know gets our answer instead of that of ulfius. The conversion from and to ulfius moves to a file of its own.

--- a/core/interfaces/http_server.h
+++ b/core/interfaces/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/connection_end.h"
 #include "core/settings.h"
 #include "core/time.h"
 
@@ -134,6 +135,8 @@
             std::function<HttpResponse(HttpRequest, const std::shared_ptr<HttpClientConnection> &)>;
     /** Builds the response to a request that reaches no route handler. */
     using RejectionHandler = std::function<HttpResponse(HttpRejection, const HttpRequest &)>;
+    /** Is told of the end of a connection, on any thread. */
+    using EndHandler = std::function<void(const ConnectionEnd &)>;
 
     virtual ~HttpServer() = default;
 
@@ -148,6 +151,9 @@
     /** Sets the handler for the listener's own error responses; call before start(). */
     virtual void onRejection(RejectionHandler handler) = 0;
 
+    /** Sets the handler for ends of connections; call before start(). */
+    virtual void onConnectionEnd(EndHandler handler) = 0;
+
     /** Starts listening. @return false when the address or the TLS files cannot be used. */
     virtual bool start() = 0;
 
--- a/drivers/http/connection_table.cpp
+++ b/drivers/http/connection_table.cpp
@@ -4,11 +4,14 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <limits>
+#include <utility>
 
 namespace hawthornslip {
 
@@ -26,6 +29,20 @@
     return info == nullptr ? nullptr : reinterpret_cast<const sockaddr_in *>(info->client_addr);
 }
 
+// Events of poll() on the socket of a client that left.
+constexpr short kClientLeft = POLLRDHUP | POLLHUP | POLLERR;
+
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+bool hasClientLeft(int socket)
+{
+    pollfd it{socket, POLLRDHUP, 0};
+    return poll(&it, 1, 0) == 1 && (it.revents & kClientLeft) != 0;
+}
+
 } // namespace
 
 SocketClientLink::SocketClientLink(int socket)
@@ -41,7 +58,6 @@
 
 bool SocketClientLink::wait(Duration atMost)
 {
-    constexpr short kLeft = POLLRDHUP | POLLHUP | POLLERR;
     std::array<pollfd, 2> descriptors{
             {{m_event, POLLIN, 0}, {m_gone ? -1 : m_socket, POLLRDHUP, 0}}};
     m_waiting = true;
@@ -60,7 +76,7 @@
         m_woken = false;
     }
     // poll() ignores a negative descriptor, so that a later wait does not return at once.
-    m_gone = m_gone || (descriptors[1].revents & kLeft) != 0;
+    m_gone = m_gone || (descriptors[1].revents & kClientLeft) != 0;
     return !m_gone;
 }
 
@@ -72,28 +88,39 @@
         eventfd_write(m_event, 1);
 }
 
+ConnectionTable::ConnectionTable(Duration idleLimit, bool isEncrypted)
+    : m_idleLimit(idleLimit)
+    , m_isEncrypted(isEncrypted)
+{}
+
 void ConnectionTable::opened(MHD_Connection *connection)
 {
     const auto *address = addressOf(connection);
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (address == nullptr || info == nullptr)
         return;
+    State state;
+    state.socket = info->connect_fd;
+    state.key = keyOf(*address);
+    state.idleSince = steadyNow();
     const std::lock_guard lock(m_mutex);
     // A client may open a new connection from the same port before the old one is reported.
-    m_byAddress[keyOf(*address)] = connection;
-    m_entries[connection] = Entry{connection, info->connect_fd, false};
+    m_byAddress[state.key] = connection;
+    m_states[connection] = state;
 }
 
-void ConnectionTable::closed(MHD_Connection *connection)
+std::optional<ConnectionEnd> ConnectionTable::closed(MHD_Connection *connection)
 {
-    const auto *address = addressOf(connection);
-    if (address == nullptr)
-        return;
     const std::lock_guard lock(m_mutex);
-    m_entries.erase(connection);
-    const auto newest = m_byAddress.find(keyOf(*address));
+    const auto it = m_states.find(connection);
+    if (it == m_states.end())
+        return std::nullopt;
+    const State state = it->second;
+    m_states.erase(it);
+    const auto newest = m_byAddress.find(state.key);
     if (newest != m_byAddress.end() && newest->second == connection)
         m_byAddress.erase(newest);
+    return state.end ? *state.end : endOfIdle(state);
 }
 
 ConnectionTable::Entry ConnectionTable::begin(const sockaddr_in &address)
@@ -102,25 +129,97 @@
     const auto it = m_byAddress.find(keyOf(address));
     if (it == m_byAddress.end())
         return {};
-    Entry &entry = m_entries.at(it->second);
-    entry.active = true;
-    return entry;
+    State &state = m_states.at(it->second);
+    state.isActive = true;
+    state.isAnswered = false;
+    state.isBroken = false;
+    return {it->second, state.socket};
 }
 
-bool ConnectionTable::end(MHD_Connection *connection)
+void ConnectionTable::answered(MHD_Connection *connection, bool isLast)
 {
     const std::lock_guard lock(m_mutex);
-    const auto it = m_entries.find(connection);
-    if (it == m_entries.end() || !it->second.active)
+    if (State *state = find(connection)) {
+        // No byte of an answer leaves once the listener closes the connections.
+        state->isAnswered = !m_isClosing;
+        state->isLast = isLast;
+    }
+}
+
+void ConnectionTable::answerBroke(MHD_Connection *connection)
+{
+    const std::lock_guard lock(m_mutex);
+    if (State *state = find(connection))
+        state->isBroken = true;
+}
+
+bool ConnectionTable::end(MHD_Connection *connection, std::optional<ConnectionEndCause> cause)
+{
+    const std::lock_guard lock(m_mutex);
+    State *state = find(connection);
+    if (state == nullptr)
         return false;
-    it->second.active = false;
-    return true;
+    if (cause)
+        state->end = endOfRequest(*state, *cause);
+    else if (!state->isActive)
+        state->end = {ConnectionEndCause::InputRefused, RequestAtEnd::Partial, 0};
+    state->idleSince = steadyNow();
+    return std::exchange(state->isActive, false);
+}
+
+void ConnectionTable::beginClose()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isClosing = true;
 }
 
 std::size_t ConnectionTable::size() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_entries.size();
+    return m_states.size();
+}
+
+ConnectionTable::State *ConnectionTable::find(MHD_Connection *connection)
+{
+    const auto it = m_states.find(connection);
+    return it == m_states.end() ? nullptr : &it->second;
+}
+
+ConnectionEnd ConnectionTable::endOfRequest(const State &state, ConnectionEndCause cause) const
+{
+    ConnectionEnd end{cause, RequestAtEnd::Partial, 0};
+    if (state.isActive)
+        end.request = state.isAnswered ? RequestAtEnd::PartlyAnswered : RequestAtEnd::Unanswered;
+    if (m_isClosing) {
+        end.cause = ConnectionEndCause::ListenerClosed;
+    } else if (cause == ConnectionEndCause::AnswerBroken && !state.isBroken) {
+        // libmicrohttpd has one code for a failed write and for input that it refuses.
+        if (hasClientLeft(state.socket))
+            end.cause = ConnectionEndCause::CallerClosed;
+        else if (!state.isActive)
+            end.cause = ConnectionEndCause::InputRefused;
+    }
+    return end;
+}
+
+ConnectionEnd ConnectionTable::endOfIdle(const State &state) const
+{
+    // libmicrohttpd counts from the last byte, which is a little earlier.
+    const bool isOverdue = steadyNow() - state.idleSince >= m_idleLimit - m_idleLimit / 10;
+    ConnectionEnd end;
+    if (state.isLast)
+        end.cause = ConnectionEndCause::LastAnswer;
+    else if (m_isClosing)
+        end.cause = ConnectionEndCause::Stopping;
+    else if (isOverdue)
+        end.cause = ConnectionEndCause::IdleTimeout;
+    int n = 0;
+    if (end.cause != ConnectionEndCause::CallerClosed && !m_isEncrypted &&
+        ioctl(state.socket, FIONREAD, &n) == 0 && n > 0) {
+        end.request = RequestAtEnd::Unread;
+        end.bytes = static_cast<std::size_t>(n);
+    }
+    return end;
 }
 
 } // namespace hawthornslip
--- a/drivers/http/connection_table.h
+++ b/drivers/http/connection_table.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "core/connection_end.h"
 #include "core/interfaces/http_server.h"
 
 #include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 struct MHD_Connection;
@@ -42,33 +44,73 @@
 class ConnectionTable
 {
 public:
-    /** An open connection. */
+    /** An open connection; without one, the pointer is null. */
     struct Entry
     {
         MHD_Connection *connection = nullptr;
         int socket = -1;
-        /** Whether a request of it is counted as active. */
-        bool active = false;
     };
 
-    /** Adds or removes @p connection as libmicrohttpd reports it. */
+    /**
+     * @param idleLimit time after which an idle connection is closed.
+     * @param isEncrypted whether bytes in the sockets may be others than those of requests.
+     */
+    ConnectionTable(Duration idleLimit, bool isEncrypted);
+
+    /** Adds @p connection as libmicrohttpd reports it. */
     void opened(MHD_Connection *connection);
-    void closed(MHD_Connection *connection);
+
+    /** Removes @p connection. @return how it ended; nothing if it was not known. */
+    std::optional<ConnectionEnd> closed(MHD_Connection *connection);
 
     /** Marks the request of the connection from @p address as active. @return its entry. */
     Entry begin(const sockaddr_in &address);
 
-    /** Ends the active request. @return false when there was none. */
-    bool end(MHD_Connection *connection);
+    /** Records that the request has an answer to send. @param isLast no further request follows. */
+    void answered(MHD_Connection *connection, bool isLast);
+
+    /** Records that the streamed answer cannot be completed. */
+    void answerBroke(MHD_Connection *connection);
+
+    /**
+     * Ends a request.
+     *
+     * @param cause why the connection ends with it; nothing if it was answered.
+     * @return false when no request was active.
+     */
+    bool end(MHD_Connection *connection, std::optional<ConnectionEndCause> cause);
+
+    /** Records that the listener closes all connections from now on. */
+    void beginClose();
 
     /** @return the number of open connections. */
     std::size_t size() const;
 
 private:
+    struct State
+    {
+        int socket = -1;
+        std::uint64_t key = 0;
+        /** A handler has been called for the current request. */
+        bool isActive = false;
+        bool isAnswered = false;
+        bool isLast = false;
+        bool isBroken = false;
+        TimePoint idleSince{};
+        std::optional<ConnectionEnd> end;
+    };
+
+    State *find(MHD_Connection *connection);
+    ConnectionEnd endOfRequest(const State &state, ConnectionEndCause cause) const;
+    ConnectionEnd endOfIdle(const State &state) const;
+
+    const Duration m_idleLimit;
+    const bool m_isEncrypted;
     mutable std::mutex m_mutex;
-    std::unordered_map<MHD_Connection *, Entry> m_entries;
+    std::unordered_map<MHD_Connection *, State> m_states;
     /** The newest connection from each address. */
     std::unordered_map<std::uint64_t, MHD_Connection *> m_byAddress;
+    bool m_isClosing = false;
 };
 
 } // namespace hawthornslip
--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -1,9 +1,9 @@
 #include "drivers/http/ulfius_http_server.h"
 
-#include "core/ascii.h"
 #include "core/file_text.h"
 #include "core/logger.h"
 #include "drivers/http/connection_table.h"
+#include "drivers/http/ulfius_messages.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -13,9 +13,10 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <cctype>
+#include <cstdarg>
 #include <cstring>
+#include <optional>
+#include <string_view>
 
 namespace hawthornslip {
 
@@ -26,110 +27,38 @@
 // libmicrohttpd keeps the headers and its own tables of them in the same memory pool.
 constexpr std::size_t kConnectionPoolExtra = 32 << 10;
 constexpr std::size_t kThreadStackBytes = 512 << 10;
-constexpr std::size_t kStreamBlockBytes = 16 << 10;
 constexpr int kListenBacklog = 1024;
 
-std::string textOf(const char *text)
-{
-    return text == nullptr ? std::string() : std::string(text);
-}
-
-HttpRequest convert(const _u_request &from, std::size_t &headerBytes)
-{
-    HttpRequest request;
-    request.method = textOf(from.http_verb);
-    const std::string url = textOf(from.http_url);
-    headerBytes = url.size();
-    const auto mark = url.find('?');
-    request.path = url.substr(0, mark);
-    if (mark != std::string::npos)
-        request.query = url.substr(mark + 1);
-    const char **names = u_map_enum_keys(from.map_header);
-    for (int i = 0; names != nullptr && names[i] != nullptr; ++i) {
-        request.headers.emplace_back(toLowerAscii(names[i]),
-                                     textOf(u_map_get(from.map_header, names[i])));
-        headerBytes += request.headers.back().first.size() + request.headers.back().second.size();
-    }
-    if (from.binary_body != nullptr)
-        request.body.assign(static_cast<const char *>(from.binary_body), from.binary_body_length);
-    if (from.client_address != nullptr) {
-        const auto *address = reinterpret_cast<const sockaddr_in *>(from.client_address);
-        std::array<char, INET_ADDRSTRLEN> text{};
-        inet_ntop(AF_INET, &address->sin_addr, text.data(), text.size());
-        request.clientAddress =
-                std::string(text.data()) + ':' + std::to_string(ntohs(address->sin_port));
-    }
-    return request;
-}
-
-// libmicrohttpd counts the idle time afresh when the time-out is set after it was off.
-void restartIdleTimeout(MHD_Connection *connection, unsigned seconds)
+MHD_OptionItem option(MHD_OPTION name, std::intptr_t value, void *pointer = nullptr)
 {
-    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
-    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, seconds);
+    return {name, value, pointer};
 }
 
-/** A streamed answer and the connection that it is sent on. */
-struct ConnectionStream
+/** @return why a request ended, or nothing if it was answered. */
+std::optional<ConnectionEndCause> causeOf(MHD_RequestTerminationCode code)
 {
-    std::unique_ptr<HttpBodySource> source;
-    MHD_Connection *connection;
-    unsigned idleSeconds;
-
-    HttpBodyRead read(char *room, std::size_t size) const
-    {
-        using Clock = std::chrono::steady_clock;
-        const auto start = Clock::now();
-        const auto result = source->read(room, size);
-        // The wait for a piece is not the client's silence. Short waits are not worth the call.
-        if (Clock::now() - start >= std::chrono::milliseconds(500))
-            restartIdleTimeout(connection, idleSeconds);
-        return result;
-    }
-};
-
-ssize_t readStream(void *stream, std::uint64_t /*offset*/, char *room, std::size_t size)
-{
-    const auto result = static_cast<const ConnectionStream *>(stream)->read(room, size);
-    switch (result.state) {
-    case HttpBodyRead::State::More:
-        return static_cast<ssize_t>(result.bytes);
-    case HttpBodyRead::State::End:
-        return U_STREAM_END;
-    case HttpBodyRead::State::Broken:
+    switch (code) {
+    case MHD_REQUEST_TERMINATED_COMPLETED_OK:
+        return std::nullopt;
+    case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+        return ConnectionEndCause::IdleTimeout;
+    case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+        return ConnectionEndCause::ListenerClosed;
+    case MHD_REQUEST_TERMINATED_READ_ERROR:
+    case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+        return ConnectionEndCause::CallerClosed;
+    case MHD_REQUEST_TERMINATED_WITH_ERROR:
         break;
     }
-    return U_STREAM_ERROR;
-}
-
-void freeStream(void *stream)
-{
-    delete static_cast<ConnectionStream *>(stream);
-}
-
-void fill(_u_response &response, HttpResponse &answer, MHD_Connection *connection,
-          unsigned idleSeconds)
-{
-    for (const auto &[name, value] : answer.headers)
-        ulfius_add_header_to_response(&response, name.c_str(), value.c_str());
-    if (answer.close)
-        ulfius_add_header_to_response(&response, "Connection", "close");
-    const auto status = static_cast<unsigned>(answer.status);
-    if (answer.stream) {
-        ulfius_set_stream_response(
-                &response, status, &readStream, &freeStream, U_STREAM_SIZE_UNKNOWN,
-                kStreamBlockBytes,
-                new ConnectionStream{std::move(answer.stream), connection, idleSeconds});
-    } else if (answer.body.empty()) {
-        ulfius_set_empty_body_response(&response, status);
-    } else {
-        ulfius_set_binary_body_response(&response, status, answer.body.data(), answer.body.size());
-    }
+    return ConnectionEndCause::AnswerBroken;
 }
 
-MHD_OptionItem option(MHD_OPTION name, std::intptr_t value, void *pointer = nullptr)
+/** @return true if the message @p format of libmicrohttpd means that it closed a new connection. */
+bool endsNewConnection(std::string_view format)
 {
-    return {name, value, pointer};
+    // There is no notification for it.
+    return format.find("connection limit") != std::string_view::npos ||
+           format.starts_with("Failed to create a thread");
 }
 
 template <typename Function>
@@ -142,7 +71,8 @@
 
 UlfiusHttpServer::UlfiusHttpServer(HttpServerSettings settings)
     : m_settings(std::move(settings))
-    , m_connections(std::make_unique<ConnectionTable>())
+    , m_connections(std::make_unique<ConnectionTable>(seconds(idleSeconds()),
+                                                      !m_settings.tls.certificate.empty()))
 {}
 
 UlfiusHttpServer::~UlfiusHttpServer()
@@ -163,6 +93,11 @@
     m_rejection = std::move(handler);
 }
 
+void UlfiusHttpServer::onConnectionEnd(EndHandler handler)
+{
+    m_connectionEnd = std::move(handler);
+}
+
 bool UlfiusHttpServer::start()
 {
     Tls tls;
@@ -238,15 +173,24 @@
     using Completed = void(void *, MHD_Connection *, void **, MHD_RequestTerminationCode);
     Notify *notify = [](void *self, MHD_Connection *connection, void ** /*context*/,
                         MHD_ConnectionNotificationCode code) {
-        auto &table = *static_cast<UlfiusHttpServer *>(self)->m_connections;
-        code == MHD_CONNECTION_NOTIFY_STARTED ? table.opened(connection) : table.closed(connection);
+        auto &server = *static_cast<UlfiusHttpServer *>(self);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+            server.m_connections->opened(connection);
+        else
+            server.connectionClosed(connection);
     };
     Completed *completed = [](void *self, MHD_Connection *connection, void **context,
                               MHD_RequestTerminationCode code) {
         mhd_request_completed(nullptr, connection, context, code);
-        static_cast<UlfiusHttpServer *>(self)->requestCompleted(connection);
+        static_cast<UlfiusHttpServer *>(self)->requestCompleted(connection, causeOf(code));
+    };
+    using Logger = void(void *, const char *, va_list);
+    Logger *logger = [](void *self, const char *format, va_list /*values*/) {
+        if (endsNewConnection(format))
+            static_cast<UlfiusHttpServer *>(self)->connectionDropped();
     };
     std::vector<MHD_OptionItem> options = {
+            option(MHD_OPTION_EXTERNAL_LOGGER, address(logger), this),
             option(MHD_OPTION_NOTIFY_COMPLETED, address(completed), this),
             option(MHD_OPTION_NOTIFY_CONNECTION, address(notify), this),
             option(MHD_OPTION_URI_LOG_CALLBACK, address(&ulfius_uri_logger)),
@@ -261,7 +205,7 @@
     };
     // poll() is required: select() fails on descriptors above 1023.
     unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
-                     MHD_USE_POLL | MHD_USE_ITC;
+                     MHD_USE_POLL | MHD_USE_ITC | MHD_USE_ERROR_LOG;
     if (!tls.key.empty()) {
         flags |= MHD_USE_TLS;
         options.push_back(option(MHD_OPTION_HTTPS_MEM_KEY, 0, const_cast<char *>(tls.key.c_str())));
@@ -280,13 +224,19 @@
 int UlfiusHttpServer::handle(const _u_request &from, _u_response &response)
 {
     std::size_t headerBytes = 0;
-    HttpRequest request = convert(from, headerBytes);
+    HttpRequest request = convertRequest(from, headerBytes);
     const auto *address = reinterpret_cast<const sockaddr_in *>(from.client_address);
     const auto entry =
             address == nullptr ? ConnectionTable::Entry{} : m_connections->begin(*address);
-    if (entry.connection == nullptr)
-        return U_CALLBACK_ERROR;
+    if (entry.connection == nullptr) {
+        logEvent(LogLevel::Error, "connection_unknown", {{"client", request.clientAddress}});
+        auto refused = reject(HttpRejection::HandlerFailed, request);
+        refused.close = true;
+        fillResponse(response, refused, {});
+        return U_CALLBACK_COMPLETE;
+    }
     ++m_active;
+    const bool isLast = asksForClose(from);
     // The idle time-out does not count while a handler works; it starts afresh with the answer,
     // where it bounds how long the client does not read.
     MHD_set_connection_option(entry.connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
@@ -295,7 +245,10 @@
     restartIdleTimeout(entry.connection, idleSeconds());
     if (!m_accepting)
         answered.close = true;
-    fill(response, answered, entry.connection, idleSeconds());
+    m_connections->answered(entry.connection, isLast || answered.close);
+    fillResponse(response, answered,
+                 {entry.connection, idleSeconds(),
+                  [this, it = entry.connection] { m_connections->answerBroke(it); }});
     return U_CALLBACK_COMPLETE;
 }
 
@@ -371,15 +324,30 @@
     return plain;
 }
 
-void UlfiusHttpServer::requestCompleted(MHD_Connection *connection)
+void UlfiusHttpServer::requestCompleted(MHD_Connection *connection,
+                                        std::optional<ConnectionEndCause> cause)
 {
-    if (!m_connections->end(connection))
+    if (!m_connections->end(connection, cause))
         return;
     const std::lock_guard lock(m_mutex);
     if (--m_active == 0)
         m_idle.notify_all();
 }
 
+void UlfiusHttpServer::connectionClosed(MHD_Connection *connection)
+{
+    const auto end = m_connections->closed(connection);
+    if (end && m_connectionEnd)
+        m_connectionEnd(*end);
+}
+
+void UlfiusHttpServer::connectionDropped() const
+{
+    // Nothing was read of it.
+    if (m_connectionEnd)
+        m_connectionEnd({ConnectionEndCause::TooManyConnections, RequestAtEnd::Unread, 0});
+}
+
 void UlfiusHttpServer::stopAccepting()
 {
     if (!m_running || !m_accepting.exchange(false))
@@ -403,6 +371,9 @@
         m_idle.wait_for(lock, grace, [this] { return m_active == 0; });
     }
     m_running = false;
+    if (const std::size_t n = m_active; n > 0)
+        logEvent(LogLevel::Warning, "requests_cut", {{"port", m_port}, {"requests", n}});
+    m_connections->beginClose();
     // Cuts connections that are still open, therefore the wait.
     ulfius_stop_framework(m_instance.get());
     ulfius_clean_instance(m_instance.get());
--- a/drivers/http/ulfius_http_server.h
+++ b/drivers/http/ulfius_http_server.h
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,7 @@
 
     void route(std::string method, std::string pathPrefix, Handler handler) override;
     void onRejection(RejectionHandler handler) override;
+    void onConnectionEnd(EndHandler handler) override;
     bool start() override;
     std::uint16_t port() const override { return m_port; }
     std::size_t activeRequests() const override { return m_active.load(); }
@@ -60,11 +62,15 @@
     HttpResponse dispatch(HttpRequest request,
                           const std::shared_ptr<HttpClientConnection> &link) const;
     HttpResponse reject(HttpRejection reason, const HttpRequest &request) const;
-    void requestCompleted(MHD_Connection *connection);
+    void requestCompleted(MHD_Connection *connection, std::optional<ConnectionEndCause> cause);
+    void connectionClosed(MHD_Connection *connection);
+    /** Reports a connection that libmicrohttpd closed before it read from it. */
+    void connectionDropped() const;
 
     HttpServerSettings m_settings;
     std::vector<Route> m_routes;
     RejectionHandler m_rejection;
+    EndHandler m_connectionEnd;
     std::unique_ptr<_u_instance> m_instance;
     std::unique_ptr<ConnectionTable> m_connections;
     int m_listenSocket = -1;
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -6,6 +6,7 @@
 #include "drivers/object_store/http_object_store.h"
 #include "drivers/object_store/memory_object_store.h"
 #include "drivers/vm_list/http_vm_list.h"
+#include "servers/caller/connection_ends.h"
 
 #include <fmt/format.h>
 #include <sodium.h>
@@ -97,6 +98,8 @@
                   {[this] { return activeWork(); }, {}})
 {
     m_caller.registerRoutes(m_callerServer);
+    recordConnectionEnds(m_callerServer, m_metrics, m_clock, "callers");
+    recordConnectionEnds(m_operatorServer, m_metrics, m_clock, "operators");
     m_config.setStatusProvider([this] {
         const auto known = facts();
         return NodeFacts{m_config.generation(), known.phase,
--- a/tests/drivers/http/caller_ends_test.cpp
+++ b/tests/drivers/http/caller_ends_test.cpp
@@ -4,8 +4,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <condition_variable>
 #include <future>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 namespace hawthornslip {
 
@@ -17,6 +20,48 @@
 
 const std::string kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/** A stream with one piece that cannot be completed. */
+class BrokenSource : public HttpBodySource
+{
+public:
+    HttpBodyRead read(char *room, std::size_t /*size*/) override
+    {
+        if (std::exchange(m_isBegun, true))
+            return {HttpBodyRead::State::Broken, 0};
+        *room = 'x';
+        return {HttpBodyRead::State::More, 1};
+    }
+
+private:
+    bool m_isBegun = false;
+};
+
+/** Collects the ends that a listener reports. */
+class Ends
+{
+public:
+    void add(const ConnectionEnd &end)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ends.push_back(end);
+        m_changed.notify_all();
+    }
+
+    /** Waits for the first end. */
+    ConnectionEnd first()
+    {
+        std::unique_lock lock(m_mutex);
+        const auto arrived = [this] { return !m_ends.empty(); };
+        CPPUNIT_ASSERT(m_changed.wait_for(lock, std::chrono::seconds(10), arrived));
+        return m_ends.front();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<ConnectionEnd> m_ends;
+};
+
 /** @return a connection from @p from, which another connection may have used before. */
 RawConnection connectFrom(std::uint16_t from, std::uint16_t to)
 {
@@ -40,6 +85,15 @@
 {
     CPPUNIT_TEST_SUITE(CallerEndsTest);
     CPPUNIT_TEST(portThatIsUsedAgainLeavesNoRequestActive);
+    CPPUNIT_TEST(endAfterAnAnswerIsNoLoss);
+    CPPUNIT_TEST(idleConnectionIsNoLoss);
+    CPPUNIT_TEST(unfinishedRequestAtTheIdleTimeoutIsCounted);
+    CPPUNIT_TEST(openRequestAtTheEndOfTheGraceIsCounted);
+    CPPUNIT_TEST(idleConnectionAtTheStopIsNoLoss);
+    CPPUNIT_TEST(brokenStreamIsCounted);
+    CPPUNIT_TEST(callerThatLeavesIsNoLossOfOurs);
+    CPPUNIT_TEST(refusedInputIsNoLoss);
+    CPPUNIT_TEST(connectionBeyondAllLimitsIsCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,11 +116,103 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->activeRequests());
     }
 
+    void endAfterAnAnswerIsNoLoss()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        client.readAll();
+        expectEnd(ConnectionEndCause::LastAnswer, RequestAtEnd::None, false);
+    }
+
+    void idleConnectionIsNoLoss()
+    {
+        start(seconds(1));
+        auto client = connect();
+        client.send(kRequest);
+        client.readMessage();
+        expectEnd(ConnectionEndCause::IdleTimeout, RequestAtEnd::None, false);
+    }
+
+    // Guards against a request that ends without an answer and is in no log.
+    void unfinishedRequestAtTheIdleTimeoutIsCounted()
+    {
+        start(seconds(1));
+        auto client = connect();
+        client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+        expectEnd(ConnectionEndCause::IdleTimeout, RequestAtEnd::Partial, true);
+    }
+
+    // Guards against requests that a stopping process takes along without a word.
+    void openRequestAtTheEndOfTheGraceIsCounted()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send("GET /left HTTP/1.1\r\nHost: h\r\n\r\n");
+        m_waiting.get_future().wait();
+        m_server->stop(Duration(0));
+        expectEnd(ConnectionEndCause::ListenerClosed, RequestAtEnd::Unanswered, true);
+    }
+
+    void idleConnectionAtTheStopIsNoLoss()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send(kRequest);
+        client.readMessage();
+        m_server->stop(Duration(0));
+        expectEnd(ConnectionEndCause::Stopping, RequestAtEnd::None, false);
+    }
+
+    // Guards against a broken answer that only its caller knows of.
+    void brokenStreamIsCounted()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send("GET /broken HTTP/1.1\r\nHost: h\r\n\r\n");
+        expectEnd(ConnectionEndCause::AnswerBroken, RequestAtEnd::PartlyAnswered, true);
+    }
+
+    void callerThatLeavesIsNoLossOfOurs()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send("GET /left HTTP/1.1\r\nHost: h\r\n\r\n");
+        m_waiting.get_future().wait();
+        client.reset();
+        const ConnectionEnd end = m_ends.first();
+        CPPUNIT_ASSERT(!isWithoutAnswer(end));
+        CPPUNIT_ASSERT(end.request != RequestAtEnd::None);
+    }
+
+    void refusedInputIsNoLoss()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n");
+        CPPUNIT_ASSERT(client.readAll().starts_with("HTTP/1.1 400"));
+        CPPUNIT_ASSERT(!isWithoutAnswer(m_ends.first()));
+    }
+
+    // Guards against connections that are closed without an answer and are in no counter.
+    void connectionBeyondAllLimitsIsCounted()
+    {
+        constexpr std::size_t kServedOrRefused = 65;
+        start(seconds(30), 1);
+        std::vector<RawConnection> clients;
+        for (std::size_t i = 0; i < kServedOrRefused; ++i)
+            clients.push_back(connect());
+        const auto last = connect();
+        CPPUNIT_ASSERT(last.waitClosed());
+        expectEnd(ConnectionEndCause::TooManyConnections, RequestAtEnd::Unread, true);
+    }
+
 private:
-    void start(Duration idle)
+    void start(Duration idle, std::uint32_t maxConnections = 1000)
     {
         HttpServerSettings settings;
         settings.idleTimeout = idle;
+        settings.maxConnections = maxConnections;
         m_server = std::make_unique<UlfiusHttpServer>(settings);
         m_server->route("*", "/a", [](const HttpRequest &, const Link &) { return text("ok"); });
         m_server->route("GET", "/wait", [this](const HttpRequest &, const Link &) {
@@ -74,6 +220,17 @@
             m_release.get_future().wait();
             return text("late");
         });
+        m_server->route("GET", "/left", [this](const HttpRequest &, const Link &link) {
+            m_waiting.set_value();
+            link->wait(seconds(10));
+            return text("late");
+        });
+        m_server->route("GET", "/broken", [](const HttpRequest &, const Link &) {
+            HttpResponse answer;
+            answer.stream = std::make_unique<BrokenSource>();
+            return answer;
+        });
+        m_server->onConnectionEnd([this](const ConnectionEnd &end) { m_ends.add(end); });
         CPPUNIT_ASSERT(m_server->start());
     }
 
@@ -86,8 +243,19 @@
         return answer;
     }
 
+    void expectEnd(ConnectionEndCause cause, RequestAtEnd request, bool isWithout)
+    {
+        const ConnectionEnd end = m_ends.first();
+        CPPUNIT_ASSERT_EQUAL(std::string(nameOf(kConnectionEndCauseNames, cause)),
+                             std::string(nameOf(kConnectionEndCauseNames, end.cause)));
+        CPPUNIT_ASSERT_EQUAL(std::string(nameOf(kRequestAtEndNames, request)),
+                             std::string(nameOf(kRequestAtEndNames, end.request)));
+        CPPUNIT_ASSERT_EQUAL(isWithout, isWithoutAnswer(end));
+    }
+
     std::promise<void> m_waiting;
     std::promise<void> m_release;
+    Ends m_ends;
     std::unique_ptr<UlfiusHttpServer> m_server;
 };
 
--- a/tests/servers/caller/caller_loopback_test.cpp
+++ b/tests/servers/caller/caller_loopback_test.cpp
@@ -2,6 +2,7 @@
 #include "drivers/http/ulfius_http_server.h"
 #include "drivers/system/system_clock.h"
 #include "servers/caller/caller_service.h"
+#include "servers/caller/connection_ends.h"
 #include "tests/servers/request_path/path_fixture.h"
 #include "tests/support/direct_gateways.h"
 #include "tests/support/raw_server.h"
@@ -68,6 +69,7 @@
         listener.maxBodyBytes = 1 << 20;
         server = std::make_unique<UlfiusHttpServer>(listener);
         service->registerRoutes(*server);
+        recordConnectionEnds(*server, metrics, clock, "callers");
         CPPUNIT_ASSERT(server->start());
     }
     ~Node() { server->stop(seconds(10)); }
@@ -107,6 +109,7 @@
     CPPUNIT_TEST(repeatedKeyReplaysTheAnswer);
     CPPUNIT_TEST(invalidRequestsGetReasons);
     CPPUNIT_TEST(drainingRefusesAndLetsStreamsEnd);
+    CPPUNIT_TEST(streamThatAStopCutsIsCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -362,6 +365,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), node.service->inFlight());
     }
 
+    // Guards against an answer that a stop cuts and no metric shows.
+    void streamThatAStopCutsIsCounted()
+    {
+        RawServer slow([](RawConnection &it, int) {
+            const auto id = idOf(it.readMessage());
+            it.send(kStreamHead + id + "\r\n\r\n" + event(id, "a"));
+            it.readAll();
+        });
+        Node node({slow.url()});
+        auto client = node.chat();
+        client.readUntil("\"a\"");
+        node.server->stop(Duration(0));
+        const std::string ended = "hawthornslip_caller_connections_ended_total";
+        CPPUNIT_ASSERT_EQUAL(1.0, node.metrics.sum(ended + "/cause=listener_closed"));
+        CPPUNIT_ASSERT_EQUAL(1.0, node.metrics.sum(ended + "/request=partly_answered"));
+    }
+
 private:
     static void answerWhole(RawConnection &it, const std::string &body)
     {
