Name in the daemon's answers how long a connection is kept

Callers had no word of the listener's idle limit of 60 s and could only guess for how long a kept connection is safe. Answers on connections that stay open say Keep-Alive: timeout=N, four fifths of the limit in whole seconds (48).

--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -246,12 +246,20 @@
     if (!m_accepting)
         answered.close = true;
     m_connections->answered(entry.connection, isLast || answered.close);
+    const unsigned promised = isLast || answered.close ? 0 : promisedSeconds();
     fillResponse(response, answered,
-                 {entry.connection, idleSeconds(),
+                 {entry.connection, idleSeconds(), promised,
                   [this, it = entry.connection] { m_connections->answerBroke(it); }});
     return U_CALLBACK_COMPLETE;
 }
 
+unsigned UlfiusHttpServer::promisedSeconds() const
+{
+    constexpr unsigned kNumerator = 4;
+    constexpr unsigned kDenominator = 5;
+    return idleSeconds() * kNumerator / kDenominator;
+}
+
 unsigned UlfiusHttpServer::idleSeconds() const
 {
     return static_cast<unsigned>(
--- a/drivers/http/ulfius_http_server.h
+++ b/drivers/http/ulfius_http_server.h
@@ -56,6 +56,8 @@
     bool readTlsFiles(Tls &tls) const;
     bool startFramework(const Tls &tls);
     unsigned idleSeconds() const;
+    /** @return the seconds for which answers promise to keep an idle connection. */
+    unsigned promisedSeconds() const;
     int handle(const _u_request &request, _u_response &response);
     HttpResponse answer(HttpRequest request, const std::shared_ptr<HttpClientConnection> &link,
                         std::size_t headerBytes) const;
--- a/drivers/http/ulfius_messages.cpp
+++ b/drivers/http/ulfius_messages.cpp
@@ -3,6 +3,7 @@
 #include "core/ascii.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <ulfius.h>
@@ -115,6 +116,10 @@
         ulfius_add_header_to_response(&response, name.c_str(), value.c_str());
     if (answer.close)
         ulfius_add_header_to_response(&response, "Connection", "close");
+    if (connection.promisedSeconds > 0)
+        ulfius_add_header_to_response(
+                &response, "Keep-Alive",
+                fmt::format("timeout={}", connection.promisedSeconds).c_str());
     const auto status = static_cast<unsigned>(answer.status);
     if (answer.stream) {
         ulfius_set_stream_response(
--- a/drivers/http/ulfius_messages.h
+++ b/drivers/http/ulfius_messages.h
@@ -18,6 +18,8 @@
     MHD_Connection *connection = nullptr;
     /** Seconds after which a client that does not read is given up. */
     unsigned idleSeconds = 0;
+    /** Seconds for which the answer promises to keep the idle connection; 0 for no promise. */
+    unsigned promisedSeconds = 0;
     /** Is called when a streamed answer cannot be completed. */
     std::function<void()> onBroken;
 };
--- a/tests/drivers/http/caller_ends_test.cpp
+++ b/tests/drivers/http/caller_ends_test.cpp
@@ -84,6 +84,8 @@
 class CallerEndsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(CallerEndsTest);
+    CPPUNIT_TEST(answerNamesHowLongItsConnectionIsKept);
+    CPPUNIT_TEST(lastAnswerPromisesNothing);
     CPPUNIT_TEST(portThatIsUsedAgainLeavesNoRequestActive);
     CPPUNIT_TEST(endAfterAnAnswerIsNoLoss);
     CPPUNIT_TEST(idleConnectionIsNoLoss);
@@ -97,6 +99,31 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against callers that reuse a connection for longer than it is kept.
+    void answerNamesHowLongItsConnectionIsKept()
+    {
+        start(seconds(30));
+        auto client = connect();
+        client.send(kRequest);
+        const auto answer = client.readMessage();
+        CPPUNIT_ASSERT(answer.find("Keep-Alive: timeout=24\r\n") != std::string::npos);
+        client.send("GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(client.readMessage().find("Keep-Alive: timeout=24\r\n") !=
+                       std::string::npos);
+    }
+
+    void lastAnswerPromisesNothing()
+    {
+        start(seconds(30));
+        for (const std::string last : {"1.1\r\nHost: h\r\nConnection: close", "1.0\r\nHost: h"}) {
+            auto client = connect();
+            client.send("GET /a HTTP/" + last + "\r\n\r\n");
+            const auto answer = client.readAll();
+            CPPUNIT_ASSERT(answer.ends_with("ok"));
+            CPPUNIT_ASSERT(answer.find("timeout=") == std::string::npos);
+        }
+    }
+
     // Guards against a stop that waits for ever for a request that has ended.
     void portThatIsUsedAgainLeavesNoRequestActive()
     {
