Answer operators' calls before a node stops

Node::stop() ended the operator listener without a grace: a change of the configuration that was being applied lost its connection and got neither an answer nor a refusal, though it may have been accepted. A call that waited for reports of nodes held the stop up for as long as its wait_ms (at most 300 s). The stop ends such waits (wait_ended in the answer; config apply then exits as for a change that is not in force) and gives calls 10 s, as a write to the store is given up after 8 s. Refusals of late requests get 1 s to be sent.

The end of a wait for reports has no test.

--- a/main/commands/config_command.cpp
+++ b/main/commands/config_command.cpp
@@ -58,16 +58,19 @@
 ExitCode printApplyResult(const Json &body, bool waited, bool json)
 {
     const auto missing = body.value("not_in_force", Json::array());
+    const bool isUnknown = body.contains("wait_ended");
     if (json) {
         fmt::print("{}\n", body.dump());
     } else {
         fmt::print("accepted as generation {}\n", body.value("generation", 0));
         for (const auto &it : missing)
             fmt::print("not in force on {}\n", it.get<std::string>());
-        if (waited && missing.empty())
+        if (isUnknown)
+            fmt::print("the node stopped before it knew where it is in force\n");
+        else if (waited && missing.empty())
             fmt::print("in force on {} nodes\n", body.value("in_force", Json::array()).size());
     }
-    return missing.empty() ? ExitCode::Success : ExitCode::NotInForce;
+    return missing.empty() && !isUnknown ? ExitCode::Success : ExitCode::NotInForce;
 }
 
 struct ApplyOptions
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -21,6 +21,11 @@
 // Longest wait on stop for outcomes to be stored. An outcome that is not stored by then is reported
 // as unknown after a restart.
 constexpr Duration kOutcomeStoreTimeout = seconds(5);
+// Longest wait on stop for refusals that are being sent.
+constexpr Duration kLastAnswersTimeout = seconds(1);
+// Longest wait on stop for calls of operators; a write to the store is answered or given up by
+// then.
+constexpr Duration kOperatorTimeout = seconds(10);
 constexpr Duration kInitialConfigInterval = milliseconds(250);
 constexpr Duration kHousekeepingInterval = seconds(1);
 
@@ -269,6 +274,9 @@
     while (m_lifecycle.phase() != NodePhase::Stopped)
         std::this_thread::sleep_for(kDrainPollInterval);
     m_loop.run([this] { m_placement.stop(); });
+    m_callerServer.stop(kLastAnswersTimeout);
+    m_operatorBackend.endWaits();
+    m_operatorServer.stop(kOperatorTimeout);
     stopThreads();
 }
 
--- a/main/node_operator_backend.cpp
+++ b/main/node_operator_backend.cpp
@@ -1,6 +1,8 @@
 #include "main/node_operator_backend.h"
 
+#include <chrono>
 #include <future>
+#include <memory>
 #include <utility>
 
 namespace hawthornslip {
@@ -9,6 +11,8 @@
 
 using Json = nlohmann::json;
 
+constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
+
 OperatorAnswer conflictAnswer(const ApplyResultInfo &result)
 {
     auto answer = errorAnswer(409, "conflict",
@@ -85,9 +89,13 @@
     if (result.status != ApplyStatus::Accepted || wait <= Duration{0})
         return answer;
     const auto inForce = queryNodes(result.generation, wait);
+    if (!inForce) {
+        answer.body["wait_ended"] = "node_stops";
+        return answer;
+    }
     answer.body["in_force"] = Json::array();
     answer.body["not_in_force"] = Json::array();
-    for (const auto &it : inForce.nodes)
+    for (const auto &it : inForce->nodes)
         answer.body[it.inForce ? "in_force" : "not_in_force"].push_back(it.node.value);
     return answer;
 }
@@ -108,10 +116,12 @@
 {
     const auto generation = m_config.current()->generation;
     const auto reports = queryNodes(generation, seconds(1));
+    if (!reports)
+        return errorAnswer(503, "node_stops", "the node stops");
     std::vector<LiveNode> live;
     m_loop.run([&] { live = m_membership.liveNodes(); });
     Json list = Json::array();
-    for (const auto &it : reports.nodes) {
+    for (const auto &it : reports->nodes) {
         Json node{{"node", it.node.value},
                   {"answered", it.answered},
                   {"generation", it.facts.generation},
@@ -126,11 +136,17 @@
     return {200, {{"nodes", list}}};
 }
 
-NodesInForce NodeOperatorBackend::queryNodes(std::uint64_t generation, Duration wait)
+std::optional<NodesInForce> NodeOperatorBackend::queryNodes(std::uint64_t generation, Duration wait)
 {
-    std::promise<NodesInForce> done;
-    m_config.nodesInForce(generation, wait, [&](const NodesInForce &it) { done.set_value(it); });
-    return done.get_future().get();
+    // Shared, because the reports may come after the wait has ended.
+    const auto done = std::make_shared<std::promise<NodesInForce>>();
+    auto reports = done->get_future();
+    m_config.nodesInForce(generation, wait, [done](const auto &it) { done->set_value(it); });
+    while (reports.wait_for(kStopCheckInterval) != std::future_status::ready) {
+        if (m_isStopping)
+            return std::nullopt;
+    }
+    return reports.get();
 }
 
 } // namespace hawthornslip
--- a/main/node_operator_backend.h
+++ b/main/node_operator_backend.h
@@ -5,7 +5,9 @@
 #include "servers/operator/operator_backend.h"
 #include "servers/peer/control_loop.h"
 
+#include <atomic>
 #include <functional>
+#include <optional>
 
 namespace hawthornslip {
 
@@ -29,14 +31,19 @@
     OperatorAnswer status() override;
     OperatorAnswer nodes() override;
 
+    /** Ends the waits for reports of nodes, because this node stops. */
+    void endWaits() { m_isStopping = true; }
+
 private:
-    NodesInForce queryNodes(std::uint64_t generation, Duration wait);
+    /** @return the reports; nothing when the node stops before they are there. */
+    std::optional<NodesInForce> queryNodes(std::uint64_t generation, Duration wait);
 
     ControlLoop &m_loop;
     ConfigService &m_config;
     MembershipService &m_membership;
     NodeId m_self;
     std::function<Facts()> m_facts;
+    std::atomic<bool> m_isStopping{false};
 };
 
 } // namespace hawthornslip
--- /dev/null
+++ b/tests/main/node_stop_test.cpp
@@ -0,0 +1,66 @@
+#include "main/node.h"
+#include "servers/security/key_hasher.h"
+#include "tests/support/raw_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <zmq.h>
+
+#include <array>
+#include <chrono>
+#include <thread>
+
+namespace hawthornslip::test {
+
+namespace {
+
+constexpr const char *kOperatorKey = "operator-test-key";
+
+/** @return settings of a node whose store is at @p storeUrl. */
+Settings settingsWithStore(const std::string &storeUrl)
+{
+    std::array<char, 41> publicKey{};
+    std::array<char, 41> secretKey{};
+    zmq_curve_keypair(publicKey.data(), secretKey.data());
+    Settings settings;
+    settings.domain = FailureDomain("riga-1");
+    settings.operators.keyHashes = {KeyHasher::hash(kOperatorKey)};
+    settings.peer.curvePublicKey = publicKey.data();
+    settings.peer.curveSecretKey = secretKey.data();
+    settings.platform.objectStoreUrl = storeUrl;
+    settings.platform.storeTimeout = milliseconds(500);
+    settings.stop.balancerNotice = Duration{0};
+    return settings;
+}
+
+} // namespace
+
+/** What a stop of the daemon does to requests that it has taken. */
+class NodeStopTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NodeStopTest);
+    CPPUNIT_TEST(operatorCallInProgressGetsItsAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a change of the configuration that gets neither an answer nor a refusal.
+    void operatorCallInProgressGetsItsAnswer()
+    {
+        RawServer store([](RawConnection &it, int) { it.readAll(); });
+        Node node(settingsWithStore(store.url()));
+        CPPUNIT_ASSERT(node.start());
+        auto client = RawConnection::connectTo(node.operatorPort());
+        const std::string body = R"({"schema_version":1,"generation":1,"author":"test"})";
+        client.send(fmt::format("PUT /admin/config HTTP/1.1\r\nHost: h\r\n"
+                                "Authorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{}",
+                                kOperatorKey, body.size(), body));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        node.stop();
+        const auto answer = client.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 50"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeStopTest);
+
+} // namespace hawthornslip::test
