--- a/main/stop_signal.h
+++ b/main/stop_signal.h
@@ -5,15 +5,15 @@
 namespace hawthornslip {
 
 /**
- * Waits for SIGTERM or SIGINT. Blocks both in the calling thread and in all threads that it
- * starts afterwards, so that only wait() receives them.
+ * Waits for SIGTERM or SIGINT; SIGHUP is only logged. Blocks them in the calling thread and in all
+ * threads that it starts afterwards, so that only wait() receives them.
  */
 class StopSignal
 {
 public:
     StopSignal();
 
-    /** Returns after the first signal. */
+    /** Returns after the first SIGTERM or SIGINT. */
     void wait() const;
 
 private:
--- a/tests/main/node_stop_test.cpp
+++ b/tests/main/node_stop_test.cpp
@@ -1,13 +1,17 @@
 #include "main/node.h"
+#include "main/stop_signal.h"
 #include "servers/security/key_hasher.h"
 #include "tests/support/raw_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <thread>
 
 namespace hawthornslip::test {
@@ -40,6 +44,7 @@
 {
     CPPUNIT_TEST_SUITE(NodeStopTest);
     CPPUNIT_TEST(operatorCallInProgressGetsItsAnswer);
+    CPPUNIT_TEST(reloadSignalDoesNotEndTheProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +64,34 @@
         const auto answer = client.readAll();
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 50"));
     }
+
+    // Guards against requests that are cut by the signal that reloads the gateway's settings.
+    void reloadSignalDoesNotEndTheProcess()
+    {
+        std::array<int, 2> ready{};
+        CPPUNIT_ASSERT(pipe(ready.data()) == 0);
+        const pid_t child = fork();
+        if (child == 0) {
+            const StopSignal signal;
+            static_cast<void>(write(ready[1], "x", 1));
+            signal.wait();
+            _exit(0);
+        }
+        char byte = 0;
+        CPPUNIT_ASSERT(read(ready[0], &byte, 1) == 1);
+        kill(child, SIGHUP);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        int status = 0;
+        const bool isAlive = waitpid(child, &status, WNOHANG) == 0;
+        if (isAlive) {
+            kill(child, SIGTERM);
+            waitpid(child, &status, 0);
+        }
+        close(ready[0]);
+        close(ready[1]);
+        CPPUNIT_ASSERT(isAlive);
+        CPPUNIT_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeStopTest);
