--- a/tests/main/node_stop_test.cpp
+++ b/tests/main/node_stop_test.cpp
@@ -12,6 +12,8 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <memory>
+#include <string>
 #include <thread>
 
 namespace hawthornslip::test {
@@ -31,6 +33,7 @@
     settings.operators.keyHashes = {KeyHasher::hash(kOperatorKey)};
     settings.peer.curvePublicKey = publicKey.data();
     settings.peer.curveSecretKey = secretKey.data();
+    settings.peer.allowedKeys = {publicKey.data()};
     settings.platform.objectStoreUrl = storeUrl;
     settings.platform.storeTimeout = milliseconds(500);
     settings.stop.balancerNotice = Duration{0};
@@ -44,6 +47,7 @@
 {
     CPPUNIT_TEST_SUITE(NodeStopTest);
     CPPUNIT_TEST(operatorCallInProgressGetsItsAnswer);
+    CPPUNIT_TEST(waitForAnotherNodeEndsWithTheStop);
     CPPUNIT_TEST(reloadSignalDoesNotEndTheProcess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -54,17 +58,33 @@
         RawServer store([](RawConnection &it, int) { it.readAll(); });
         Node node(settingsWithStore(store.url()));
         CPPUNIT_ASSERT(node.start());
-        auto client = RawConnection::connectTo(node.operatorPort());
-        const std::string body = R"({"schema_version":1,"generation":1,"author":"test"})";
-        client.send(fmt::format("PUT /admin/config HTTP/1.1\r\nHost: h\r\n"
-                                "Authorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{}",
-                                kOperatorKey, body.size(), body));
+        auto client = sendChange(node, "/admin/config");
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         node.stop();
         const auto answer = client.readAll();
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 50"));
     }
 
+    // Guards against a stop that takes as long as an operator waits for a node that is gone.
+    void waitForAnotherNodeEndsWithTheStop()
+    {
+        Settings settings = settingsWithStore("");
+        settings.peer.listen.port = RawServer::closedPort();
+        Node node(settings);
+        CPPUNIT_ASSERT(node.start());
+        settings.peer.seeds = {node.id()};
+        settings.peer.listen.port = RawServer::closedPort();
+        auto other = std::make_unique<Node>(settings);
+        CPPUNIT_ASSERT(other->start());
+        waitForNodes(node, 2);
+        other.reset();
+        auto client = sendChange(node, "/admin/config?wait_ms=300000");
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        node.stop();
+        const auto answer = client.readMessage();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("\"wait_ended\"") != std::string::npos);
+    }
+
     // Guards against requests that are cut by the signal that reloads the gateway's settings.
     void reloadSignalDoesNotEndTheProcess()
     {
@@ -92,6 +112,37 @@
         CPPUNIT_ASSERT(isAlive);
         CPPUNIT_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
     }
+
+private:
+    static RawConnection sendCall(const Node &node, const std::string &line,
+                                  const std::string &body)
+    {
+        auto client = RawConnection::connectTo(node.operatorPort());
+        client.send(fmt::format("{} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {}\r\n"
+                                "Content-Length: {}\r\n\r\n{}",
+                                line, kOperatorKey, body.size(), body));
+        return client;
+    }
+
+    static RawConnection sendChange(const Node &node, const std::string &target)
+    {
+        return sendCall(node, "PUT " + target,
+                        R"({"schema_version":1,"generation":1,"author":"test"})");
+    }
+
+    /** Waits until @p node knows @p n live nodes. */
+    static void waitForNodes(const Node &node, int n)
+    {
+        const std::string wanted = fmt::format("\"live_nodes\":{}", n);
+        constexpr int kAttempts = 500;
+        for (int i = 0; i < kAttempts; ++i) {
+            if (sendCall(node, "GET /admin/status", "").readMessage().find(wanted) !=
+                std::string::npos)
+                return;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_FAIL("the nodes don't know each other");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeStopTest);
