--- a/main/node.cpp
+++ b/main/node.cpp
@@ -6,6 +6,7 @@
 #include "drivers/object_store/http_object_store.h"
 #include "drivers/object_store/memory_object_store.h"
 #include "drivers/vm_list/http_vm_list.h"
+#include "servers/caller/connection_ends.h"
 
 #include <fmt/format.h>
 #include <sodium.h>
@@ -20,6 +21,11 @@
 // Longest wait on stop for outcomes to be stored. An outcome that is not stored by then is reported
 // as unknown after a restart.
 constexpr Duration kOutcomeStoreTimeout = seconds(5);
+// Longest wait on stop for refusals that are being sent.
+constexpr Duration kLastAnswersTimeout = seconds(1);
+// Longest wait on stop for calls of operators; a write to the store is answered or given up by
+// then.
+constexpr Duration kOperatorTimeout = seconds(10);
 constexpr Duration kInitialConfigInterval = milliseconds(250);
 constexpr Duration kHousekeepingInterval = seconds(1);
 
@@ -97,6 +103,8 @@
                   {[this] { return activeWork(); }, {}})
 {
     m_caller.registerRoutes(m_callerServer);
+    recordConnectionEnds(m_callerServer, m_metrics, m_clock, "callers");
+    recordConnectionEnds(m_operatorServer, m_metrics, m_clock, "operators");
     m_config.setStatusProvider([this] {
         const auto known = facts();
         return NodeFacts{m_config.generation(), known.phase,
@@ -266,6 +274,9 @@
     while (m_lifecycle.phase() != NodePhase::Stopped)
         std::this_thread::sleep_for(kDrainPollInterval);
     m_loop.run([this] { m_placement.stop(); });
+    m_callerServer.stop(kLastAnswersTimeout);
+    m_operatorBackend.endWaits();
+    m_operatorServer.stop(kOperatorTimeout);
     stopThreads();
 }
 
