--- a/drivers/http/ulfius_http_server.cpp
+++ b/drivers/http/ulfius_http_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/ulfius_http_server.h"
 
+#include "core/caller_limits.h"
 #include "core/file_text.h"
 #include "core/logger.h"
 #include "drivers/http/connection_table.h"
@@ -255,9 +256,8 @@
 
 unsigned UlfiusHttpServer::promisedSeconds() const
 {
-    constexpr unsigned kNumerator = 4;
-    constexpr unsigned kDenominator = 5;
-    return idleSeconds() * kNumerator / kDenominator;
+    const auto span = reusableFor(seconds(idleSeconds()));
+    return static_cast<unsigned>(std::chrono::floor<std::chrono::seconds>(span).count());
 }
 
 unsigned UlfiusHttpServer::idleSeconds() const
