--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -8,6 +8,7 @@
 #include "tests/soak/store_standin.h"
 #include "tests/soak/worker_standin.h"
 
+#include <array>
 #include <memory>
 #include <random>
 #include <string>
@@ -15,6 +16,9 @@
 
 namespace hawthornslip::soak {
 
+/** First part of the path of each kind of request. */
+inline constexpr std::array<const char *, 4> kPaths = {"/order/", "/read/", "/chat/", "/draft/"};
+
 /** What a run plays. */
 struct SoakOptions
 {
