Let the soak's idle limit pass often and move in series

The soak's configuration named no limits, so that no idle limit passed within a run of 14 s and none ever moved. It names all four now, with an idle limit of a second. New faults: the idle limit moves up and down 2 to 6 times in a row, some moves beside SIGTERM, SIGHUP, both at once, changed settings, a cut watch or another change of the configuration; SIGHUP alone; changed settings alone. None of them is a fault that excuses anything by itself.

--- a/tests/soak/gateway_process_runner.cpp
+++ b/tests/soak/gateway_process_runner.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <utility>
 #include <vector>
@@ -40,22 +41,38 @@
 
 void GatewayProcessRunner::writeSettings() const
 {
-    std::ofstream file(fmt::format("{}/gateway{}.toml", m_folder, m_index));
-    file << fmt::format("[node]\nname = \"gateway{}\"\ndomain = \"here\"\n"
+    const std::string path = fmt::format("{}/gateway{}.toml", m_folder, m_index);
+    // A process must not read half a file.
+    const std::string draft = path + ".new";
+    std::ofstream file(draft);
+    file << fmt::format("[node]\nname = \"gateway{}\"\ndomain = \"here\"\nlog_level = \"{}\"\n"
                         "[listen]\ncallers = \"127.0.0.1:{}\"\nreadiness = \"127.0.0.1:{}\"\n"
                         "metrics = \"127.0.0.1:{}\"\npeers = \"127.0.0.1:{}\"\n"
                         "[store]\naddress = \"127.0.0.1:{}\"\n"
                         "[keys]\nfail_closed = true\nrevoke_within_ms = 5000\n"
                         "[upstreams]\ndrain_within_ms = 2000\n"
                         "[retries]\nratio = 0.2\nwindow_s = 10\n[stop]\ngrace_s = 8\n{}",
-                        m_index, m_ports.callers, m_ports.readiness, m_ports.metrics, m_ports.peers,
-                        m_ports.store, m_moreSettings);
+                        m_index, m_isVerbose ? "debug" : "info", m_ports.callers, m_ports.readiness,
+                        m_ports.metrics, m_ports.peers, m_ports.store, m_moreSettings);
+    file.close();
+    std::filesystem::rename(draft, path);
+}
+
+void GatewayProcessRunner::changeLogLevel()
+{
+    m_isVerbose = !m_isVerbose;
+    writeSettings();
+}
+
+std::string GatewayProcessRunner::logPath() const
+{
+    return fmt::format("{}/gateway{}.log", m_folder, m_index);
 }
 
 bool GatewayProcessRunner::start()
 {
     const std::string settings = fmt::format("{}/gateway{}.toml", m_folder, m_index);
-    const std::string log = fmt::format("{}/gateway{}.log", m_folder, m_index);
+    const std::string log = logPath();
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
--- a/tests/soak/gateway_process_runner.h
+++ b/tests/soak/gateway_process_runner.h
@@ -36,6 +36,9 @@
     /** Sends a signal to the process, if it runs. */
     void signal(int number);
 
+    /** Writes the settings anew with another log level; the process finds that by itself. */
+    void changeLogLevel();
+
     /** @return true while the process runs; takes note when it has ended. */
     bool isRunning();
 
@@ -44,6 +47,8 @@
     /** @return the status of the last end as wait() gives it. */
     int lastStatus() const { return m_lastStatus; }
     const GatewayPorts &ports() const { return m_ports; }
+    /** @return the file that all its processes append their lines to. */
+    std::string logPath() const;
 
 private:
     void writeSettings() const;
@@ -53,6 +58,7 @@
     std::size_t m_index;
     GatewayPorts m_ports;
     std::string m_moreSettings;
+    bool m_isVerbose = false;
     pid_t m_pid = 0;
     int m_lastStatus = 0;
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -175,19 +175,22 @@
 
 void SoakRun::planFaults()
 {
-    static constexpr std::array<Fault, 21> kFaults = {
+    static constexpr std::array<Fault, 24> kFaults = {
             &SoakRun::stopGateway,   &SoakRun::killGateway,      &SoakRun::pauseGateway,
             &SoakRun::cutStore,      &SoakRun::delayStore,       &SoakRun::resetStore,
             &SoakRun::refuseStore,   &SoakRun::forgetHistory,    &SoakRun::crashWorker,
             &SoakRun::drainWorker,   &SoakRun::failWorker,       &SoakRun::fillWorker,
             &SoakRun::resetWorkers,  &SoakRun::delayWorker,      &SoakRun::revokeKey,
             &SoakRun::moveOrders,    &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers,
-            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers,   &SoakRun::revokeAllKeys};
+            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers,   &SoakRun::revokeAllKeys,
+            &SoakRun::moveIdleLimit, &SoakRun::reloadSettings,   &SoakRun::changeSettings};
     // Some seeds play few kinds, so that the checks that need calm get their turn.
     const std::size_t kinds = 1 + pick(6);
     std::vector<Fault> chosen;
     for (std::size_t i = 0; i < kinds; ++i)
         chosen.push_back(kFaults[pick(kFaults.size())]);
+    if (pick(2) == 0)
+        m_loop.after(between(Duration(0), m_options.length / 2), [this] { moveIdleLimit(); });
     const std::size_t count = 2 + pick(7);
     for (std::size_t i = 0; i < count; ++i) {
         const Fault fault = chosen[pick(chosen.size())];
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -87,6 +87,11 @@
     void revokeKey();
     void revokeAllKeys();
     void moveOrders();
+    void moveIdleLimit();
+    void reloadSettings();
+    void changeSettings();
+    void stopAndReload();
+    void cutWatches();
 
     std::size_t pick(std::size_t n) { return n == 0 ? 0 : m_random() % n; }
     Duration between(Duration low, Duration high);
@@ -107,6 +112,8 @@
     std::vector<std::string> m_keys;
     std::uint64_t m_version = 0;
     std::string m_orderService = "app";
+    /** How long the configuration lets callers keep an idle connection. */
+    Duration m_idleLimit = seconds(1);
     std::uint64_t m_nextWorker = 0;
     std::uint64_t m_nextCall = 0;
     TimePoint m_start{};
