Show in the soak requests that are read and dropped as a connection closes

For a request without an answer they wait whether the connection is reset, which tells that it was left unread. The judge reports a request that was written whole and got neither an answer nor a reset, passed on or not, unless the process was killed meanwhile. A pause of the process only prolongs the wait. checkPlannedStop excuses only requests without a status now: part of an answer that reached no worker is reported too. A run without any 200 fails, as one without a binary passed.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -10,6 +10,8 @@
 
 // The first second of a window may lie in the one before it, for which its requests count.
 constexpr int kWindows = 2;
+// A process may answer a little longer after the signal that kills it was sent.
+constexpr Duration kKillTime = milliseconds(100);
 constexpr std::size_t kShortestStream = 4;
 constexpr std::size_t kLongestStream = 24;
 
@@ -54,12 +56,40 @@
     return runs && isUndisturbed(gateway, at);
 }
 
+bool Judge::wasKilled(std::size_t gateway, TimePoint from, TimePoint to) const
+{
+    const auto it = m_kills.find(gateway);
+    return it != m_kills.end() && std::ranges::any_of(it->second, [=](TimePoint at) {
+               return from <= at + kKillTime && at <= to;
+           });
+}
+
+void Judge::checkWireEnd(const CallerOutcome &outcome)
+{
+    if (outcome.wireEnd == WireEnd::Unknown)
+        return;
+    ++m_wireEnds[outcome.wireEnd];
+    const bool isSilent = outcome.wireEnd == WireEnd::Closed || outcome.wireEnd == WireEnd::Open;
+    if (isSilent && !wasKilled(outcome.gateway, outcome.sentAt, outcome.endedAt))
+        report(fmt::format("request {} at gateway {} was written whole and got neither an answer "
+                           "nor a reset: {} after {} ms, {} arrivals",
+                           outcome.id, outcome.gateway, nameOf(kWireEndNames, outcome.wireEnd),
+                           toMillis(outcome.endedAt - outcome.sentAt),
+                           m_sent[outcome.id].arrivals));
+}
+
+void Judge::onDropTold(std::size_t gateway, const std::string &told)
+{
+    report(fmt::format("gateway {} tells that it read requests and dropped them: {}", gateway,
+                       told));
+}
+
 void Judge::checkPlannedStop(const CallerOutcome &outcome)
 {
     const bool isBroken = outcome.status == 0 || !outcome.isWhole;
-    // A request that crossed the close of its connection reached no upstream.
-    const bool passedOn = m_sent[outcome.id].arrivals > 0;
-    if (isBroken && passedOn && isUndisturbed(outcome.gateway, outcome.sentAt) &&
+    // A request that crossed the close of its connection reached no upstream and has no status.
+    const bool mayHaveCrossed = outcome.status == 0 && m_sent[outcome.id].arrivals == 0;
+    if (isBroken && !mayHaveCrossed && isUndisturbed(outcome.gateway, outcome.sentAt) &&
         isUndisturbed(outcome.gateway, outcome.endedAt))
         report(fmt::format("request {} at gateway {} was cut off after {} ms without a fault",
                            outcome.id, outcome.gateway,
@@ -132,6 +162,7 @@
     if (outcome.status == 200)
         checkAnswer(outcome);
     checkPlannedStop(outcome);
+    checkWireEnd(outcome);
 }
 
 void Judge::checkAnswer(const CallerOutcome &outcome)
@@ -177,6 +208,9 @@
 
 void Judge::finish()
 {
+    // A run in which nothing works keeps the other promises.
+    if (!m_statuses.contains(200))
+        report("no request was answered with 200");
     for (const auto &it : m_refused) {
         if (m_sent[it.id].runs > 0)
             report(fmt::format("request {} was refused with {} and ran", it.id, it.status));
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/enum_names.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -33,6 +34,28 @@
     Duration repeatWindow = seconds(10);
 };
 
+/** How a request ended on its caller's connection. */
+enum class WireEnd {
+    /** The caller did not look. */
+    Unknown,
+    /** An answer began. */
+    Answered,
+    /** Without an answer, by a reset: the caller knows that the gateway left it unread. */
+    Reset,
+    /** Written whole, and the connection ended without an answer and without a reset. */
+    Closed,
+    /** Written whole, and neither an answer nor an end of the connection came. */
+    Open,
+};
+
+inline constexpr EnumNames<WireEnd, 5> kWireEndNames = {{
+        {WireEnd::Unknown, "unknown"},
+        {WireEnd::Answered, "answered"},
+        {WireEnd::Reset, "reset"},
+        {WireEnd::Closed, "closed"},
+        {WireEnd::Open, "open"},
+}};
+
 /** What a caller saw of one request. */
 struct CallerOutcome
 {
@@ -46,12 +69,14 @@
     /** The answer ended properly. */
     bool isWhole = false;
     std::string body;
+    WireEnd wireEnd = WireEnd::Unknown;
 };
 
 /**
  * Checks the promises from what callers and upstreams saw: an order runs at most once, a refusal
- * that says so did not run, answers are whole and belong to their request, streams have no gap,
- * revoked keys and drained upstreams get nothing, changes take effect, repeats stay in budget.
+ * that says so did not run, a request that was read gets an answer, answers are whole and belong to
+ * their request, streams have no gap, revoked keys and drained upstreams get nothing, changes take
+ * effect, repeats stay in budget.
  */
 class Judge
 {
@@ -71,6 +96,9 @@
         m_interruptedUntil[gateway] = std::max(m_interruptedUntil[gateway], until);
     }
 
+    /** Notes that the process of @p gateway is killed, with the requests that it holds. */
+    void onKilled(std::size_t gateway, TimePoint at) { m_kills[gateway].push_back(at); }
+
     /** Notes that the store acknowledged the end of @p key. */
     void onKeyRevoked(const std::string &key, TimePoint at) { m_revoked[key] = at; }
     /** Notes that the store acknowledged that @p upstream drains. */
@@ -96,6 +124,8 @@
     void onRun(const std::string &id, Kind kind, const std::string &service, TimePoint at);
     /** Notes how a request ended for its caller. */
     void onOutcome(const CallerOutcome &outcome);
+    /** Notes what @p gateway tells of a request that it dropped. */
+    void onDropTold(std::size_t gateway, const std::string &told);
 
     /** Checks what can be known only at the end. */
     void finish();
@@ -104,6 +134,8 @@
     const std::vector<std::string> &violations() const { return m_violations; }
     /** @return requests by status, for the report. */
     const std::map<int, int> &statuses() const { return m_statuses; }
+    /** @return requests of kept callers by their end on the connection, for the report. */
+    const std::map<WireEnd, int> &wireEnds() const { return m_wireEnds; }
 
 private:
     struct Sent
@@ -116,6 +148,8 @@
 
     bool isCalm(std::size_t gateway, TimePoint at) const;
     bool isUndisturbed(std::size_t gateway, TimePoint at) const;
+    bool wasKilled(std::size_t gateway, TimePoint from, TimePoint to) const;
+    void checkWireEnd(const CallerOutcome &outcome);
     void checkPlannedStop(const CallerOutcome &outcome);
     void checkAnswer(const CallerOutcome &outcome);
     void checkStream(const CallerOutcome &outcome);
@@ -129,6 +163,7 @@
     std::map<std::size_t, TimePoint> m_troubledUntil;
     std::map<std::size_t, TimePoint> m_stoppedUntil;
     std::map<std::size_t, TimePoint> m_interruptedUntil;
+    std::map<std::size_t, std::vector<TimePoint>> m_kills;
     TimePoint m_allTroubledUntil{};
     std::map<std::string, TimePoint> m_revoked;
     std::map<std::string, TimePoint> m_draining;
@@ -141,6 +176,7 @@
     std::deque<TimePoint> m_requests;
     std::deque<TimePoint> m_repeats;
     std::map<int, int> m_statuses;
+    std::map<WireEnd, int> m_wireEnds;
     std::vector<std::string> m_violations;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,8 @@
     app.add_option("--gateways", options.gateways, "Gateway processes");
     app.add_option("--workers", options.workers, "Worker stand-ins");
     app.add_option("--rate", options.rate, "Requests a second of all callers");
+    app.add_option("--kept-callers", options.keptCallers,
+                   "Callers that keep a connection, at each gateway");
     app.add_option("--length", length, "Seconds of load");
     app.add_flag("--verbose", options.isVerbose, "Print the faults");
     CLI11_PARSE(app, argc, argv);
@@ -32,7 +34,10 @@
     std::string statuses;
     for (const auto &[status, n] : run.judge().statuses())
         statuses += fmt::format(" {}:{}", status, n);
-    fmt::print("seed {}: {}, statuses{}\n", options.seed,
-               violations.empty() ? "kept every promise" : "BROKEN", statuses);
+    std::string ends;
+    for (const auto &[end, n] : run.judge().wireEnds())
+        ends += fmt::format(" {}:{}", hawthornslip::nameOf(kWireEndNames, end), n);
+    fmt::print("seed {}: {}, statuses{}, on kept connections{}\n", options.seed,
+               violations.empty() ? "kept every promise" : "BROKEN", statuses, ends);
     return violations.empty() ? 0 : 1;
 }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <utility>
@@ -16,6 +17,8 @@
 constexpr Duration kStartUp = milliseconds(1500);
 // Requests that are open at the end have this long to end.
 constexpr Duration kEndTime = seconds(6);
+// Metrics are read this long before the end.
+constexpr Duration kReadTime = milliseconds(300);
 constexpr std::size_t kKeys = 6;
 // A worker whose entry goes is forgotten by the store after three missed heartbeats.
 constexpr Duration kLapse = milliseconds(1500);
@@ -92,11 +95,14 @@
     m_loop.after(kStartUp, [this] {
         planFaults();
         scheduleCall();
+        startKeptCallers();
     });
     watchGateways();
     m_loop.after(kStartUp + m_options.length, [this] { m_ending = true; });
+    m_loop.after(kStartUp + m_options.length + kEndTime - kReadTime, [this] { readMetrics(); });
     m_loop.after(kStartUp + m_options.length + kEndTime, [this] { m_loop.stop(); });
     m_loop.run();
+    readLogs();
     m_judge.finish();
     return m_judge.violations();
 }
@@ -145,32 +151,43 @@
     });
 }
 
-void SoakRun::sendCall()
+SoakRun::Call SoakRun::drawCall(std::string id, std::size_t gateway, std::mt19937_64 &random)
 {
-    const std::string path = kPaths[pick(kPaths.size())];
-    const std::size_t gateway = pick(m_gateways.size());
-    const std::string key = fmt::format("key{}", pick(kKeys));
-    CallerOutcome outcome;
-    outcome.id = fmt::format("s{}c{}", m_options.seed, ++m_nextCall);
-    outcome.kind = kindOf(path);
+    Call call;
+    call.path = fmt::format("{}x", kPaths[random() % kPaths.size()]);
+    const std::string key = fmt::format("key{}", random() % kKeys);
+    auto &outcome = call.outcome;
+    outcome.id = std::move(id);
+    outcome.kind = kindOf(call.path);
     outcome.gateway = gateway;
     outcome.sentAt = m_loop.now();
+    call.method = outcome.kind == Kind::Read ? "GET" : "POST";
+    call.headers = {{"Host", "soak.example"},
+                    {"X-Hawthornslip-Attempt-Id", outcome.id},
+                    {"X-Hawthornslip-Deadline-Ms", "4000"},
+                    {"X-Hawthornslip-Tenant", "forged"},
+                    {"X-Gateway", std::to_string(gateway)},
+                    {"Authorization", "Bearer " + key}};
+    call.body = outcome.kind == Kind::Read ? "" : "soak";
+    m_judge.onSent(outcome.id, key, outcome.sentAt);
+    return call;
+}
+
+void SoakRun::sendCall()
+{
+    const std::size_t gateway = pick(m_gateways.size());
+    Call call = drawCall(fmt::format("s{}c{}", m_options.seed, ++m_nextCall), gateway, m_random);
     UpstreamRequest request;
-    request.method = outcome.kind == Kind::Read ? "GET" : "POST";
-    request.url = fmt::format("http://127.0.0.1:{}{}x", m_gateways[gateway]->ports().callers, path);
-    request.headers = {{"Host", "soak.example"},
-                       {"X-Hawthornslip-Attempt-Id", outcome.id},
-                       {"X-Hawthornslip-Deadline-Ms", "4000"},
-                       {"X-Hawthornslip-Tenant", "forged"},
-                       {"X-Gateway", std::to_string(gateway)},
-                       {"Authorization", "Bearer " + key}};
-    request.body = outcome.kind == Kind::Read ? "" : "soak";
+    request.method = call.method;
+    request.url =
+            fmt::format("http://127.0.0.1:{}{}", m_gateways[gateway]->ports().callers, call.path);
+    request.headers = std::move(call.headers);
+    request.body = std::move(call.body);
     request.totalTimeout = Duration(0);
-    m_judge.onSent(outcome.id, key, outcome.sentAt);
     constexpr std::size_t kOneInLeaves = 10;
     const Duration patience =
             pick(kOneInLeaves) == 0 ? between(milliseconds(1), milliseconds(200)) : Duration(0);
-    std::make_shared<Caller>(*this, std::move(outcome))->send(std::move(request), patience);
+    std::make_shared<Caller>(*this, std::move(call.outcome))->send(std::move(request), patience);
 }
 
 void SoakRun::planFaults()
@@ -231,6 +248,7 @@
     const std::size_t i = pick(m_gateways.size());
     note(fmt::format("SIGKILL to gateway {}", i));
     m_judge.onFault(i, m_loop.now() + seconds(2));
+    m_judge.onKilled(i, m_loop.now());
     m_gateways[i]->signal(SIGKILL);
 }
 
@@ -241,6 +259,7 @@
     note(fmt::format("gateway {} pauses for {} ms", i, toMillis(length)));
     m_judge.onFault(i, m_loop.now() + length);
     m_judge.onInterrupted(i, m_loop.now() + length);
+    m_pausedUntil[i] = std::max(m_pausedUntil[i], m_loop.now() + length);
     m_gateways[i]->signal(SIGSTOP);
     m_loop.after(length, [this, i] { m_gateways[i]->signal(SIGCONT); });
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -5,10 +5,12 @@
 #include "tests/soak/fault_proxy.h"
 #include "tests/soak/gateway_process_runner.h"
 #include "tests/soak/judge.h"
+#include "tests/soak/kept_caller.h"
 #include "tests/soak/store_standin.h"
 #include "tests/soak/worker_standin.h"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -30,11 +32,13 @@
     Duration length = seconds(14);
     /** Requests a second of all callers. */
     double rate = 150;
+    /** Callers with a connection of their own at each gateway. */
+    std::size_t keptCallers = 6;
     bool isVerbose = false;
 };
 
 /** Plays one seed: real gateways, stand-ins, callers, and faults that overlap. */
-class SoakRun
+class SoakRun : private KeptCallerWorld
 {
 public:
     explicit SoakRun(SoakOptions options);
@@ -46,6 +50,7 @@
 
 private:
     class Caller;
+    class MetricsReader;
     /** A worker with the proxy that gateways reach it through. */
     struct Worker
     {
@@ -54,8 +59,30 @@
         std::uint16_t port = 0;
         bool leaving = false;
     };
+    /** A request as drawn, for callers of all sorts. */
+    struct Call
+    {
+        CallerOutcome outcome;
+        std::string method;
+        std::string path;
+        HttpHeaders headers;
+        std::string body;
+    };
     using Fault = void (SoakRun::*)();
 
+    KeptRequest nextKeptRequest(std::size_t gateway, std::mt19937_64 &random) override;
+    std::uint16_t callerPort(std::size_t gateway) const override;
+    Duration idleLimit() const override { return m_idleLimit; }
+    TimePoint pausedUntil(std::size_t gateway) const override;
+    bool isEnding() const override { return m_ending; }
+    void onKeptOutcome(const CallerOutcome &outcome) override { m_judge.onOutcome(outcome); }
+    void startKeptCallers();
+    /** Asks the gateways that run for their metrics. */
+    void readMetrics();
+    void readLogs();
+
+    /** Draws a request for a gateway and tells the judge of it. */
+    Call drawCall(std::string id, std::size_t gateway, std::mt19937_64 &random);
     void startWorker(const std::string &service);
     void startGateways();
     void putWorker(const Worker &worker, const std::string &state);
@@ -109,6 +136,9 @@
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::vector<std::unique_ptr<FaultProxy>> m_storeProxies;
     std::vector<std::unique_ptr<GatewayProcessRunner>> m_gateways;
+    std::vector<std::shared_ptr<KeptCaller>> m_keptCallers;
+    /** By gateway. */
+    std::map<std::size_t, TimePoint> m_pausedUntil;
     std::vector<std::string> m_keys;
     std::uint64_t m_version = 0;
     std::string m_orderService = "app";
@@ -116,6 +146,7 @@
     Duration m_idleLimit = seconds(1);
     std::uint64_t m_nextWorker = 0;
     std::uint64_t m_nextCall = 0;
+    std::uint64_t m_nextKeptRequest = 0;
     TimePoint m_start{};
     bool m_ending = false;
 };
