--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,9 +1,9 @@
 #include "tests/soak/soak_run.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <utility>
@@ -12,14 +12,13 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
-constexpr std::array<const char *, 4> kPaths = {"/order/", "/read/", "/chat/", "/draft/"};
 constexpr std::string_view kStamp = "soak.";
 // Gateways are ready well within this; faults and calls begin after it.
 constexpr Duration kStartUp = milliseconds(1500);
 // Requests that are open at the end have this long to end.
 constexpr Duration kEndTime = seconds(6);
+// Metrics are read this long before the end.
+constexpr Duration kReadTime = milliseconds(300);
 constexpr std::size_t kKeys = 6;
 // A worker whose entry goes is forgotten by the store after three missed heartbeats.
 constexpr Duration kLapse = milliseconds(1500);
@@ -96,11 +95,14 @@
     m_loop.after(kStartUp, [this] {
         planFaults();
         scheduleCall();
+        startKeptCallers();
     });
     watchGateways();
     m_loop.after(kStartUp + m_options.length, [this] { m_ending = true; });
+    m_loop.after(kStartUp + m_options.length + kEndTime - kReadTime, [this] { readMetrics(); });
     m_loop.after(kStartUp + m_options.length + kEndTime, [this] { m_loop.stop(); });
     m_loop.run();
+    readLogs();
     m_judge.finish();
     return m_judge.violations();
 }
@@ -138,35 +140,6 @@
                  {"state", state}});
 }
 
-void SoakRun::putConfig()
-{
-    Json routes = Json::array();
-    const std::array<const char *, 4> kinds = {"non_idempotent", "idempotent", "streaming",
-                                               "streaming"};
-    for (std::size_t i = 0; i < kPaths.size(); ++i) {
-        const bool isOrder = i == 0;
-        routes.push_back({{"name", kPaths[i]},
-                          {"host", "soak.example"},
-                          {"path_prefix", kPaths[i]},
-                          {"route_kind", kinds[i]},
-                          {"timeout_ms", 4000},
-                          {"goal_ms", 1000},
-                          {"gap_goal_ms", i >= 2 ? 500 : 0},
-                          {"max_attempts", 2},
-                          {"resumable", i == 3},
-                          {"service", isOrder ? m_orderService : "app"}});
-    }
-    Json tenants = Json::array();
-    if (!m_keys.empty())
-        tenants.push_back({{"name", "t"}, {"api_keys", m_keys}, {"priority", 0}});
-    m_version += 1 + m_random() % 5;
-    m_store.put("config", "main",
-                {{"version", m_version},
-                 {"routes", routes},
-                 {"services", {{{"name", "app"}}, {{"name", "other"}}}},
-                 {"tenants", tenants}});
-}
-
 void SoakRun::scheduleCall()
 {
     if (m_ending)
@@ -178,49 +151,63 @@
     });
 }
 
-void SoakRun::sendCall()
+SoakRun::Call SoakRun::drawCall(std::string id, std::size_t gateway, std::mt19937_64 &random)
 {
-    const std::string path = kPaths[pick(kPaths.size())];
-    const std::size_t gateway = pick(m_gateways.size());
-    const std::string key = fmt::format("key{}", pick(kKeys));
-    CallerOutcome outcome;
-    outcome.id = fmt::format("s{}c{}", m_options.seed, ++m_nextCall);
-    outcome.kind = kindOf(path);
+    Call call;
+    call.path = fmt::format("{}x", kPaths[random() % kPaths.size()]);
+    const std::string key = fmt::format("key{}", random() % kKeys);
+    auto &outcome = call.outcome;
+    outcome.id = std::move(id);
+    outcome.kind = kindOf(call.path);
     outcome.gateway = gateway;
     outcome.sentAt = m_loop.now();
+    call.method = outcome.kind == Kind::Read ? "GET" : "POST";
+    call.headers = {{"Host", "soak.example"},
+                    {"X-Hawthornslip-Attempt-Id", outcome.id},
+                    {"X-Hawthornslip-Deadline-Ms", "4000"},
+                    {"X-Hawthornslip-Tenant", "forged"},
+                    {"X-Gateway", std::to_string(gateway)},
+                    {"Authorization", "Bearer " + key}};
+    call.body = outcome.kind == Kind::Read ? "" : "soak";
+    m_judge.onSent(outcome.id, key, outcome.sentAt);
+    return call;
+}
+
+void SoakRun::sendCall()
+{
+    const std::size_t gateway = pick(m_gateways.size());
+    Call call = drawCall(fmt::format("s{}c{}", m_options.seed, ++m_nextCall), gateway, m_random);
     UpstreamRequest request;
-    request.method = outcome.kind == Kind::Read ? "GET" : "POST";
-    request.url = fmt::format("http://127.0.0.1:{}{}x", m_gateways[gateway]->ports().callers, path);
-    request.headers = {{"Host", "soak.example"},
-                       {"X-Hawthornslip-Attempt-Id", outcome.id},
-                       {"X-Hawthornslip-Deadline-Ms", "4000"},
-                       {"X-Hawthornslip-Tenant", "forged"},
-                       {"X-Gateway", std::to_string(gateway)},
-                       {"Authorization", "Bearer " + key}};
-    request.body = outcome.kind == Kind::Read ? "" : "soak";
+    request.method = call.method;
+    request.url =
+            fmt::format("http://127.0.0.1:{}{}", m_gateways[gateway]->ports().callers, call.path);
+    request.headers = std::move(call.headers);
+    request.body = std::move(call.body);
     request.totalTimeout = Duration(0);
-    m_judge.onSent(outcome.id, key, outcome.sentAt);
     constexpr std::size_t kOneInLeaves = 10;
     const Duration patience =
             pick(kOneInLeaves) == 0 ? between(milliseconds(1), milliseconds(200)) : Duration(0);
-    std::make_shared<Caller>(*this, std::move(outcome))->send(std::move(request), patience);
+    std::make_shared<Caller>(*this, std::move(call.outcome))->send(std::move(request), patience);
 }
 
 void SoakRun::planFaults()
 {
-    static constexpr std::array<Fault, 21> kFaults = {
+    static constexpr std::array<Fault, 24> kFaults = {
             &SoakRun::stopGateway,   &SoakRun::killGateway,      &SoakRun::pauseGateway,
             &SoakRun::cutStore,      &SoakRun::delayStore,       &SoakRun::resetStore,
             &SoakRun::refuseStore,   &SoakRun::forgetHistory,    &SoakRun::crashWorker,
             &SoakRun::drainWorker,   &SoakRun::failWorker,       &SoakRun::fillWorker,
             &SoakRun::resetWorkers,  &SoakRun::delayWorker,      &SoakRun::revokeKey,
             &SoakRun::moveOrders,    &SoakRun::sendExtraAnswers, &SoakRun::loseStoreAnswers,
-            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers,   &SoakRun::revokeAllKeys};
+            &SoakRun::releaseWorker, &SoakRun::leaveByAnswers,   &SoakRun::revokeAllKeys,
+            &SoakRun::moveIdleLimit, &SoakRun::reloadSettings,   &SoakRun::changeSettings};
     // Some seeds play few kinds, so that the checks that need calm get their turn.
     const std::size_t kinds = 1 + pick(6);
     std::vector<Fault> chosen;
     for (std::size_t i = 0; i < kinds; ++i)
         chosen.push_back(kFaults[pick(kFaults.size())]);
+    if (pick(2) == 0)
+        m_loop.after(between(Duration(0), m_options.length / 2), [this] { moveIdleLimit(); });
     const std::size_t count = 2 + pick(7);
     for (std::size_t i = 0; i < count; ++i) {
         const Fault fault = chosen[pick(chosen.size())];
@@ -261,6 +248,7 @@
     const std::size_t i = pick(m_gateways.size());
     note(fmt::format("SIGKILL to gateway {}", i));
     m_judge.onFault(i, m_loop.now() + seconds(2));
+    m_judge.onKilled(i, m_loop.now());
     m_gateways[i]->signal(SIGKILL);
 }
 
@@ -271,6 +259,7 @@
     note(fmt::format("gateway {} pauses for {} ms", i, toMillis(length)));
     m_judge.onFault(i, m_loop.now() + length);
     m_judge.onInterrupted(i, m_loop.now() + length);
+    m_pausedUntil[i] = std::max(m_pausedUntil[i], m_loop.now() + length);
     m_gateways[i]->signal(SIGSTOP);
     m_loop.after(length, [this, i] { m_gateways[i]->signal(SIGCONT); });
 }
@@ -461,36 +450,6 @@
     });
 }
 
-void SoakRun::revokeKey()
-{
-    if (m_keys.size() < 2)
-        return;
-    const std::string key = m_keys.back();
-    m_keys.pop_back();
-    note(fmt::format("{} is revoked", key));
-    putConfig();
-    m_judge.onKeyRevoked(key, m_loop.now());
-}
-
-void SoakRun::revokeAllKeys()
-{
-    note("all keys are revoked");
-    const auto revoked = std::exchange(m_keys, {});
-    putConfig();
-    for (const auto &it : revoked)
-        m_judge.onKeyRevoked(it, m_loop.now());
-}
-
-void SoakRun::moveOrders()
-{
-    if (m_orderService != "app")
-        return;
-    note("orders move to another service");
-    m_orderService = "other";
-    putConfig();
-    m_judge.onServiceMoved(m_orderService, m_loop.now());
-}
-
 Duration SoakRun::between(Duration low, Duration high)
 {
     std::uniform_int_distribution<std::int64_t> spread(low.count(), high.count());
