Count as dropped by the soak whatever was read of an idle connection

The listener has no end 'dropped' any more; the soak now reports each end of an idle connection on which anything was read, whatever it is called.

--- a/tests/soak/told_drops.cpp
+++ b/tests/soak/told_drops.cpp
@@ -25,6 +25,13 @@
            cause == nameOf(kConnectionEndCauseNames, ConnectionEndCause::Stopping);
 }
 
+/** @return true when bytes of a request had been read, so that its caller had to get an answer. */
+bool wasRead(std::string_view request)
+{
+    return request != nameOf(kRequestAtEndNames, RequestAtEnd::None) &&
+           request != nameOf(kRequestAtEndNames, RequestAtEnd::Unread);
+}
+
 std::string_view labelOf(std::string_view line, std::string_view name)
 {
     const std::string begin = fmt::format("{}=\"", name);
@@ -42,9 +49,8 @@
     std::vector<std::string> found;
     std::istringstream lines{std::string(page)};
     for (std::string it; std::getline(lines, it);) {
-        const bool isDrop =
-                it.starts_with(metric::kCallerConnections) && isIdleEnd(labelOf(it, "cause")) &&
-                labelOf(it, "request") == nameOf(kRequestAtEndNames, RequestAtEnd::Dropped);
+        const bool isDrop = it.starts_with(metric::kCallerConnections) &&
+                            isIdleEnd(labelOf(it, "cause")) && wasRead(labelOf(it, "request"));
         if (isDrop && std::atof(it.c_str() + it.find_last_of(' ') + 1) > 0)
             found.push_back(it);
     }
@@ -61,7 +67,7 @@
         // A process that was killed may leave half a line.
         const Json line = Json::parse(it, nullptr, false);
         if (line.is_object() && isIdleEnd(line.value("cause", "")) &&
-            line.value("request", "") == nameOf(kRequestAtEndNames, RequestAtEnd::Dropped))
+            wasRead(line.value("request", "")))
             found.push_back(it);
     }
     return found;
