Show with real processes which ends of upstreams make no evidence

Every test so far ended upstreams in one way: the connection breaks after the head and the port is refused at once. The new program plays a table of ends with forked worker processes and two gateway processes: how much of the answer was written, its framing, how the process ends and who has its port then. Two rows cut connections of sound requests, as a check against blame for them.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,11 @@
 crowds: build
 	@tools/crowds.sh $(BUILD)
 
+# Lets worker processes end in many ways as they begin to answer a prompt.
+.PHONY: crashes
+crashes: build
+	@tools/crashes.sh $(BUILD) 4 --seed $(SEED)
+
 format:
 	@tools/format.sh
 
