Keep the loss under which an upstream ended until it has answered

Requests that hang at a port which another process keeps break when that process lets go. They joined the losses of the ended upstream, and the one under which it had ended was dropped after a second, as if its process had gone on. Now a loss is dropped only once the address has answered, and losses more than a second after the first one do not count as the ended process's.

--- a/modules/quarantine/end_evidence.cpp
+++ b/modules/quarantine/end_evidence.cpp
@@ -48,6 +48,7 @@
 
 void EndEvidence::onProbed(ProbeResult result)
 {
+    m_hasAnswered = m_hasAnswered || result == ProbeResult::Answered;
     m_unanswered += result == ProbeResult::Unanswered ? 1 : 0;
     // A full upstream resets new connections too, but none whose answer it has begun.
     const bool isDeaf = m_hasBegun && m_unanswered >= kMinUnanswered;
--- a/modules/quarantine/end_evidence.h
+++ b/modules/quarantine/end_evidence.h
@@ -49,6 +49,8 @@
 
     /** @return true if the address will be asked again. */
     bool willAsk() const;
+    /** @return true if the address has answered since the first loss. */
+    bool hasAnswered() const { return m_hasAnswered; }
     /** @return the next look, or nothing when there was the last one. */
     std::optional<Look> nextLook();
 
@@ -59,6 +61,7 @@
     /** When the last attempt was lost. */
     TimePoint m_lostAt{};
     bool m_hasBegun = false;
+    bool m_hasAnswered = false;
     std::size_t m_looks = 0;
     std::size_t m_unanswered = 0;
     Conclusion m_conclusion = Conclusion::Unknown;
--- a/servers/gateway/prompt_guard.cpp
+++ b/servers/gateway/prompt_guard.cpp
@@ -60,7 +60,8 @@
     const auto [it, isNew] = m_pending.try_emplace(
             process, Lost{attempt.upstream, EndEvidence(listingOf(attempt.upstream)), {}});
     Lost &lost = it->second;
-    settleBefore(m_loop.now(), lost.attempts);
+    if (lost.evidence.hasAnswered())
+        settleBefore(m_loop.now(), lost.attempts);
     lost.attempts.push_back(
             {std::move(seen), attempt.requestId, attempt.mayBeWhole, attempt.begunAt});
     const bool willAsk = lost.evidence.willAsk();
@@ -145,7 +146,11 @@
     m_pending.erase(it);
     m_loop.cancel(lost.timer);
     if (conclusion == EndEvidence::Conclusion::Ended) {
-        settleBefore(lost.attempts.back().observation.crashedAt, lost.attempts);
+        const TimePoint end = lost.attempts.front().observation.crashedAt + kSameEnd;
+        // Later ones were lost by whoever had the port then.
+        std::erase_if(lost.attempts, [end](const Pending &lostOne) {
+            return lostOne.observation.crashedAt > end;
+        });
         record(lost);
     } else {
         settleBefore(TimePoint::max(), lost.attempts);
