Print each row of the crashes in one write

One of two runs into a file lacked the line of a row, with exit 0; that five cat processes overwrote each other's output is suspected.

--- a/tools/crashes.sh
+++ b/tools/crashes.sh
@@ -13,11 +13,11 @@
     shift
     if "$build/crashes" --binary "$build/hawthornslip" --folder "$folder/$row" --row "$row" "$@" \
         >"$folder/$row.txt" 2>&1; then
-        cat "$folder/$row.txt"
+        echo "$(<"$folder/$row.txt")"
     elif grep -qx "test: crashes $row" "$known"; then
         echo "known: $(cat "$folder/$row.txt")"
     else
-        cat "$folder/$row.txt"
+        echo "$(<"$folder/$row.txt")"
         echo "$row" >>"$folder/failed"
     fi
 }
