Read on after a last answer, and serve what was read behind another request

What follows such an answer is read and dropped again; it has told the caller so. A request that was read behind another one got no answer in a stop; it is served before the connection closes.

Ends are told more truly: bytes of a body that was being read count, an end for memory keeps its cause after the answer, a failed write is the caller's. HTTP/1.0 gets no Keep-Alive, as it would need a Connection header as well.

--- a/core/connection_end.h
+++ b/core/connection_end.h
@@ -13,7 +13,7 @@
     CallerClosed,
     /** It was idle for longer than callers may keep it. */
     IdleTimeout,
-    /** It was idle while the process stops. */
+    /** It was idle while the process stops, and was closed before the listener. */
     Stopping,
     /** The answer before said that it is the last one. */
     LastAnswer,
@@ -27,7 +27,7 @@
     MemoryFull,
     /** The listener has too many connections. */
     TooManyConnections,
-    /** The listener ends. */
+    /** The listener ends with all connections that are left. */
     ListenerClosed,
 };
 
@@ -47,11 +47,11 @@
 /** What was on a connection of a caller when it ended. */
 enum class RequestAtEnd {
     None,
-    /** Bytes that were left in the socket, so that the caller can tell that nobody read them. */
+    /** Bytes that were left in the socket; nobody read them, and the connection is reset. */
     Unread,
     /** Part of a request was read. */
     Partial,
-    /** Bytes after the last request were read; a whole request may be among them. */
+    /** Bytes after the last answer were read and dropped; a whole request may be among them. */
     Following,
     /** A request had no answer yet. */
     Unanswered,
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -103,6 +103,8 @@
     const auto self = shared_from_this();
     if (m_stage != Stage::Closing)
         m_end = describeEnd(cause);
+    if (m_hasWriteFailed)
+        m_end.cause = ConnectionEndCause::CallerClosed;
     auto &list = m_stage == Stage::Answering ? m_server.m_busy : m_server.m_idle;
     list.erase(m_place);
     const bool isIncomplete =
@@ -121,7 +123,8 @@
 
 ConnectionEnd ServerConnection::describeEnd(ConnectionEndCause cause) const
 {
-    ConnectionEnd end{cause, RequestAtEnd::None, m_in.size()};
+    ConnectionEnd end{cause, RequestAtEnd::None,
+                      m_in.size() + (m_parser ? m_parser->heldBytes() : 0)};
     if (m_stage == Stage::Answering && (!m_answerEnded || !m_out.empty()))
         end.request = m_answerBegun ? RequestAtEnd::PartlyAnswered : RequestAtEnd::Unanswered;
     else if (m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody)
@@ -202,7 +205,7 @@
 {
     if (m_stage == Stage::Closed)
         return;
-    if (m_stage == Stage::Closing && m_end.cause != ConnectionEndCause::InputRefused) {
+    if (m_stage == Stage::Closing && closesIdle()) {
         onReadableWhileClosing();
         return;
     }
@@ -218,8 +221,7 @@
         return;
     }
     if (m_stage == Stage::Closing) {
-        // The rest of refused input is read, as its caller may look for the answer only after it.
-        waitReadable();
+        dropAfterLastAnswer(n);
         return;
     }
     m_in.append(scratch.data(), n);
@@ -233,18 +235,24 @@
 
 void ServerConnection::onReadableWhileClosing()
 {
-    const std::size_t n = unreadBytes();
-    if (n == 0) {
-        close(m_end.cause);
-        return;
+    // Bytes that stay unread reset the connection, which shows that nobody read them. The answer
+    // before has arrived, as a caller sends its next request after it.
+    if (const std::size_t n = unreadBytes(); n > 0) {
+        m_end.request = RequestAtEnd::Unread;
+        m_end.bytes = n;
     }
-    // Bytes that stay unread reset the connection, so that the caller knows that nothing has run.
-    m_end.request = RequestAtEnd::Unread;
-    m_end.bytes = n;
-    // A caller that sends its next request has received the answer before; otherwise the answer may
-    // still be on its way, and the reset has to wait for it.
-    if (closesIdle())
-        close(m_end.cause);
+    close(m_end.cause);
+}
+
+void ServerConnection::dropAfterLastAnswer(std::size_t bytes)
+{
+    // Unread bytes would reset the connection, and the answer may still be on its way. It has told
+    // the caller that nothing after it is served.
+    if (m_end.cause != ConnectionEndCause::InputRefused) {
+        m_end.request = RequestAtEnd::Following;
+        m_end.bytes += bytes;
+    }
+    waitReadable();
 }
 
 bool ServerConnection::closesIdle() const
@@ -414,6 +422,7 @@
     if (m_stage != Stage::Answering || m_answerBegun || !m_events)
         return false;
     m_keepAlive = false;
+    m_lastAnswerCause = ConnectionEndCause::MemoryFull;
     const auto events = m_events;
     events->onMemoryFull();
     return m_answerEnded;
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -49,7 +49,10 @@
 
     void waitReadable();
     void onReadable();
+    /** Closes without reading; the connection was idle. */
     void onReadableWhileClosing();
+    /** Reads on while an answer that ends the connection is on its way. */
+    void dropAfterLastAnswer(std::size_t bytes);
     /** Reads what is in the socket before a time limit takes effect. */
     void readLate();
     void onPeerClosed();
@@ -124,6 +127,9 @@
     bool m_endsWithClose = false;
     /** Set when the connection begins to close. */
     ConnectionEnd m_end;
+    /** Why the connection ends after the current answer, if it does. */
+    ConnectionEndCause m_lastAnswerCause = ConnectionEndCause::LastAnswer;
+    bool m_hasWriteFailed = false;
 
     TimePoint m_idleSince{};
     /** The longest limit that callers may go by while the connection is idle. */
--- a/drivers/asio/server_connection_answer.cpp
+++ b/drivers/asio/server_connection_answer.cpp
@@ -70,7 +70,10 @@
 void ServerConnection::beginAnswer(int status, const HttpHeaders &headers,
                                    std::optional<std::size_t> length)
 {
-    if (m_server.m_sink.isStopping() || (!length && !m_chunked))
+    const bool isHttp11 = m_chunked;
+    // A request that was read behind this one is served before the connection closes.
+    const bool isLastOfStop = m_server.m_sink.isStopping() && m_in.empty();
+    if (isLastOfStop || (!length && !m_chunked))
         m_keepAlive = false;
     std::string head;
     appendAnswerHead(head, status, headers);
@@ -80,10 +83,10 @@
         head += fmt::format("Content-Length: {}\r\n", *length);
     else if (m_chunked && hasBody(status))
         head += "Transfer-Encoding: chunked\r\n";
-    if (m_keepAlive)
-        nameIdleLimit(head);
-    else
+    if (!m_keepAlive)
         head += "Connection: close\r\n";
+    else if (isHttp11)
+        nameIdleLimit(head);
     head += "\r\n";
     m_withoutBody = m_withoutBody || !hasBody(status);
     m_answerBegun = true;
@@ -123,7 +126,7 @@
 void ServerConnection::finishRequest()
 {
     if (!m_keepAlive) {
-        closeGracefully(ConnectionEndCause::LastAnswer);
+        closeGracefully(m_lastAnswerCause);
         return;
     }
     enter(Stage::Idle);
@@ -191,6 +194,7 @@
 {
     // The caller of send() still uses this connection, so it closes once that has returned.
     m_out.clear();
+    m_hasWriteFailed = true;
     boost::asio::post(m_server.m_loop.context(), [self = shared_from_this()] {
         self->close(ConnectionEndCause::CallerClosed);
     });
--- a/tests/support/asio_loopback.h
+++ b/tests/support/asio_loopback.h
@@ -113,7 +113,10 @@
         socket.async_read_some(boost::asio::buffer(m_buffer),
                                [this](const boost::system::error_code &ec, std::size_t n) {
                                    received.append(m_buffer.data(), n);
+                                   const bool isEnd = ec && !closed;
                                    closed = closed || ec;
+                                   if (isEnd && onClosed)
+                                       onClosed();
                                    wasReset = ec == boost::asio::error::connection_reset;
                                    if (!ec)
                                        read();
@@ -127,6 +130,8 @@
     tcp::socket socket;
     std::string received;
     bool closed = false;
+    /** Called once, as the end of the connection is seen. */
+    std::function<void()> onClosed;
     /** The connection ended with a reset instead of an orderly close. */
     bool wasReset = false;
 };
