Bound the wait of the daemon's reload test

The review saw that the test waited for a forked process without a bound and hoped that a signal had been handled after 200 ms. Both signals are sent at once, the lower one is delivered first, and the child is killed after ten seconds. The two tests that wait for a call to be under way (100 and 200 ms) stay: a wait for the store's write was tried and does not tell the call from the node's own reads.

--- a/tests/main/node_stop_test.cpp
+++ b/tests/main/node_stop_test.cpp
@@ -99,21 +99,31 @@
         }
         char byte = 0;
         CPPUNIT_ASSERT(read(ready[0], &byte, 1) == 1);
+        // The system delivers the lower number first when both are pending.
         kill(child, SIGHUP);
-        std::this_thread::sleep_for(std::chrono::milliseconds(200));
-        int status = 0;
-        const bool isAlive = waitpid(child, &status, WNOHANG) == 0;
-        if (isAlive) {
-            kill(child, SIGTERM);
-            waitpid(child, &status, 0);
-        }
+        kill(child, SIGTERM);
+        const int status = waitFor(child);
         close(ready[0]);
         close(ready[1]);
-        CPPUNIT_ASSERT(isAlive);
         CPPUNIT_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
     }
 
 private:
+    /** @return the status of @p child as wait() gives it; kills it after ten seconds. */
+    static int waitFor(pid_t child)
+    {
+        int status = 0;
+        constexpr int kAttempts = 500;
+        for (int i = 0; i < kAttempts; ++i) {
+            if (waitpid(child, &status, WNOHANG) == child)
+                return status;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        kill(child, SIGKILL);
+        waitpid(child, &status, 0);
+        return status;
+    }
+
     static RawConnection sendCall(const Node &node, const std::string &line,
                                   const std::string &body)
     {
