Let the soak report every request that a gateway read and did not answer

The review saw that ends with a request without an answer, other than those of idle connections, passed. Now any such end that is not the caller's is a violation.

--- a/tests/soak/told_drops.cpp
+++ b/tests/soak/told_drops.cpp
@@ -25,10 +25,12 @@
            cause == nameOf(kConnectionEndCauseNames, ConnectionEndCause::Stopping);
 }
 
-/** @return true when bytes of a request had been read, so that its caller had to get an answer. */
-bool wasRead(std::string_view request)
+/** @return true when the gateway read a request and gave its caller neither answer nor refusal. */
+bool isDrop(std::string_view cause, std::string_view request)
 {
-    return request != nameOf(kRequestAtEndNames, RequestAtEnd::None) &&
+    if (request == nameOf(kRequestAtEndNames, RequestAtEnd::Unanswered))
+        return cause != nameOf(kConnectionEndCauseNames, ConnectionEndCause::CallerClosed);
+    return isIdleEnd(cause) && request != nameOf(kRequestAtEndNames, RequestAtEnd::None) &&
            request != nameOf(kRequestAtEndNames, RequestAtEnd::Unread);
 }
 
@@ -49,9 +51,9 @@
     std::vector<std::string> found;
     std::istringstream lines{std::string(page)};
     for (std::string it; std::getline(lines, it);) {
-        const bool isDrop = it.starts_with(metric::kCallerConnections) &&
-                            isIdleEnd(labelOf(it, "cause")) && wasRead(labelOf(it, "request"));
-        if (isDrop && std::atof(it.c_str() + it.find_last_of(' ') + 1) > 0)
+        const bool isTold = it.starts_with(metric::kCallerConnections) &&
+                            isDrop(labelOf(it, "cause"), labelOf(it, "request"));
+        if (isTold && std::atof(it.c_str() + it.find_last_of(' ') + 1) > 0)
             found.push_back(it);
     }
     return found;
@@ -66,8 +68,7 @@
             continue;
         // A process that was killed may leave half a line.
         const Json line = Json::parse(it, nullptr, false);
-        if (line.is_object() && isIdleEnd(line.value("cause", "")) &&
-            wasRead(line.value("request", "")))
+        if (line.is_object() && isDrop(line.value("cause", ""), line.value("request", "")))
             found.push_back(it);
     }
     return found;
