Count bytes that follow a last answer once

What was in the socket as the answer ended was added to the end's bytes both there and when it was read. The new test fails with the step left out and holds with it: ConnectionEndTest 6 of 6.

--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -249,6 +249,9 @@
     // Unread bytes would reset the connection, and the answer may still be on its way. It has told
     // the caller that nothing after it is served.
     if (m_end.cause != ConnectionEndCause::InputRefused) {
+        // Those that were in the socket before are read now.
+        if (m_end.request == RequestAtEnd::Unread)
+            m_end.bytes = 0;
         m_end.request = RequestAtEnd::Following;
         m_end.bytes += bytes;
     }
--- a/tests/drivers/asio/connection_end_test.cpp
+++ b/tests/drivers/asio/connection_end_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(openRequestAtTheEndOfTheListenerIsCounted);
     CPPUNIT_TEST(callerThatLeavesIsNoLossOfOurs);
     CPPUNIT_TEST(refusedInputIsNoLoss);
+    CPPUNIT_TEST(bytesAfterTheLastAnswerAreCountedOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,6 +76,21 @@
         expectEnd(ConnectionEndCause::InputRefused, RequestAtEnd::Partial, false);
     }
 
+    void bytesAfterTheLastAnswerAreCountedOnce()
+    {
+        m_sink->answer = nullptr;
+        auto &peer = connectPeer();
+        peer.send("GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        runUntil(*m_loop, [this] { return !m_sink->writers.empty(); });
+        // In the socket when the answer ends.
+        peer.send(kRequest);
+        answerOk(m_sink->requests[0], *m_sink->writers[0]);
+        peer.expectClosed();
+        peer.socket.close();
+        expectEnd(ConnectionEndCause::LastAnswer, RequestAtEnd::Following, true);
+        CPPUNIT_ASSERT_EQUAL(kRequest.size(), m_sink->ends[0].bytes);
+    }
+
 private:
     void expectEnd(ConnectionEndCause cause, RequestAtEnd request, bool isWithout)
     {
