--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -67,7 +67,7 @@
 try "a change takes effect" modules/freshness/config_cache.cpp \
     's/if \(m_table && config.version <= [^\n]*\n/if (m_table)\n/' 'after the move'
 try "a request that is read gets an answer" drivers/asio/server_connection.cpp \
-    's/if \(m_stage == Stage::Closing && m_end.cause != [^\n]*\n/if (false) {\n/' 'neither an answer nor a reset'
+    's/if \(m_stage == Stage::Closing && closesIdle\(\)\)/if (false)/' 'neither an answer nor a reset'
 try "repeats stay in their budget" servers/gateway/exchange.cpp \
     's/if \(m_sentAttempts > 0 && !m_service->retryBudget.tryTake\(now\)\)/if (false)/' 'repeats in a window'
 try "a stop cuts nothing off" main/gateway_process.cpp \
