--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -422,13 +422,14 @@
                      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
                              std::chrono::duration<double>(wait));
     Json events = Json::array();
-    do {
+    const auto collect = [&] {
         for (const auto &[of, event] : m_events) {
             if (of == kind && event["object"]["metadata"]["revision"] > revision)
                 events.push_back(event);
         }
-    } while (events.empty() && !m_stopping &&
-             m_changed.wait_until(lock, due) == std::cv_status::no_timeout);
+        return !events.empty() || m_stopping;
+    };
+    m_changed.wait_until(lock, due, collect);
     const Json body{{"events", events}, {"as_of", m_revision}};
     return answerText(200, {{"Content-Type", "application/json"}}, body.dump());
 }
