--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -94,13 +94,13 @@
     return {};
 }
 
-const auto startOfProgram = std::chrono::steady_clock::now();
+const auto kStartOfProgram = std::chrono::steady_clock::now();
 
 } // namespace
 
 double elapsed()
 {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now() - startOfProgram).count();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - kStartOfProgram).count();
 }
 
 void sleepFor(double seconds)
