--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -76,7 +76,8 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    /** Connects to a port on loopback. @param receiveBytes size of the receive buffer, 0 as is. */
+    /** Connects to a port on loopback. @param receiveBytes receive buffer of a slow peer, 0 as is.
+     */
     static int open(std::uint16_t port, int receiveBytes = 0);
 
     bool isOpen() const { return m_socket >= 0; }
