Share the daemon's test node between test files

The tests of broken answers need the daemon's caller service with its real drivers as caller_loopback_test.cpp has it.

--- a/tests/servers/caller/caller_loopback_test.cpp
+++ b/tests/servers/caller/caller_loopback_test.cpp
@@ -1,11 +1,4 @@
-#include "drivers/http/curl_upstream_client.h"
-#include "drivers/http/ulfius_http_server.h"
-#include "drivers/system/system_clock.h"
-#include "servers/caller/caller_service.h"
-#include "servers/caller/connection_ends.h"
-#include "tests/servers/request_path/path_fixture.h"
-#include "tests/support/direct_gateways.h"
-#include "tests/support/raw_server.h"
+#include "tests/support/caller_node.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -14,6 +7,7 @@
 
 namespace hawthornslip {
 
+using Node = test::CallerNode;
 using test::PathFixture;
 using test::RawConnection;
 using test::RawServer;
@@ -37,59 +31,6 @@
            "\"},\"finish_reason\":null}]}\n\n";
 }
 
-/** The caller service with the real HTTP drivers, in front of upstreams scripted by the test. */
-struct Node
-{
-    SystemClock clock;
-    test::FakeMetrics metrics;
-    test::FixedConfig config;
-    test::DirectAdmission admission{config};
-    test::MemoryClaims claims;
-    test::FakeRetries retries;
-    UnlimitedRateLimiter rates;
-    AnswerStore answers{1 << 20, seconds(60)};
-    CurlUpstreamClient upstreams;
-    std::unique_ptr<RequestPath> path;
-    std::unique_ptr<CallerService> service;
-    std::unique_ptr<UlfiusHttpServer> server;
-    PathSettings settings;
-
-    explicit Node(const std::vector<std::string> &urls, const PathSettings &pathSettings = {})
-        : settings(pathSettings)
-    {
-        config.config = test::exampleConfig();
-        config.config->upstreams.resize(urls.size());
-        for (std::size_t i = 0; i < urls.size(); ++i)
-            config.config->upstreams[i].url = urls[i];
-        path = std::make_unique<RequestPath>(PathServices{clock, metrics, config, admission, claims,
-                                                          upstreams, retries, rates, answers,
-                                                          settings});
-        service = std::make_unique<CallerService>(*path, CallerService::Hooks{});
-        HttpServerSettings listener;
-        listener.maxBodyBytes = 1 << 20;
-        server = std::make_unique<UlfiusHttpServer>(listener);
-        service->registerRoutes(*server);
-        recordConnectionEnds(*server, metrics, clock, "callers");
-        CPPUNIT_ASSERT(server->start());
-    }
-    ~Node() { server->stop(seconds(10)); }
-
-    RawConnection chat(const std::string &profile = "chat") const
-    {
-        return post("/v1/chat/completions", profile,
-                    R"({"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]})");
-    }
-    RawConnection post(const std::string &target, const std::string &profile,
-                       const std::string &body, const std::string &headers = "") const
-    {
-        auto client = RawConnection::connectTo(server->port());
-        client.send("POST " + target + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n" +
-                    "X-Hawthornslip-Profile: " + profile + "\r\n" + headers +
-                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-        return client;
-    }
-};
-
 } // namespace
 
 /** Tests the request path end to end with ulfius, libcurl and upstreams on loopback. */
