Fail an attempt at once when the status of its answer is none

Callers of a gateway got answers with the status 600 or 999 as they came ("HTTP/1.1 600 <unknown-status>" with the worker's body), also with a retry left. With 000, 001, 099 or 101 the answer was taken for an interim one and skipped, and the caller waited for the rest until its time limit.

Cause: Beast reads any three digits as a status, and the connection took every status below 200 for an interim answer. The parser now refuses what is not from 100 to 599, and 101, as no request asks for another protocol. That ends the call as broken while the connection is still open, so the attempt is retried or answered 502 may_have_run.

Evidence: GatewayBrokenAnswerTest compares the bytes on the caller's socket and the time, with a retry left and without, with a length, in chunks and ended by the connection; its status rows failed on the code before, the first 8 because the test waited. PlatformBrokenAnswerTest (store, list, provider, registry) failed on 000. The rows of broken names, values, interim heads and trailers pass without a change: Beast checks them.

--- a/drivers/asio/http_message_parser.cpp
+++ b/drivers/asio/http_message_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "core/ascii.h"
 
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
@@ -16,6 +17,9 @@
 
 // Memory set aside at once for a body; a caller that announces more has to send it first.
 constexpr std::uint64_t kLargestReserve = 64 << 10;
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kLastStatus = 599;
 
 std::string lowerCase(boost::beast::string_view text)
 {
@@ -103,9 +107,13 @@
     return body.size();
 }
 
-void AnswerParser::on_response_impl(int code, View, int, Error &)
+void AnswerParser::on_response_impl(int code, View, int, Error &ec)
 {
-    status = code;
+    // No request asks for another protocol.
+    if (code < kFirstStatus || code > kLastStatus || code == kSwitchingProtocols)
+        ec = http::error::bad_status;
+    else
+        status = code;
 }
 
 void AnswerParser::on_field_impl(Field, View name, View value, Error &)
--- a/drivers/asio/http_message_parser.h
+++ b/drivers/asio/http_message_parser.h
@@ -60,6 +60,7 @@
 public:
     using Error = boost::beast::error_code;
 
+    /** From 100 to 599; 0 before the status line was read. */
     int status = 0;
     HttpHeaders headers;
     /** Bytes of the body that were read and not yet taken. */
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -105,6 +105,9 @@
         return poll(&it, 1, kPatienceMillis) == 1;
     }
 
+    /** Ends the bytes to the peer; the connection stays open for what the peer sends. */
+    void endStream() const { shutdown(m_socket, SHUT_WR); }
+
     /** Closes with a reset, so that the peer sees an error. */
     void reset()
     {
