Refuse answers whose transfer coding is not chunks alone

Callers of a gateway got the bytes of an answer with "Transfer-Encoding: gzip" or "chunked, gzip" as its content, without the header that names the coding: a body that is not the worker's. Without a close the end of such a body was not known, and the caller waited.

Cause: Beast takes any coding that does not end with chunks for a body that ends with its connection, or with its length where one is given. The parser now accepts no other coding than chunked: no request asks for one (TE).

--- a/drivers/asio/http_message_parser.cpp
+++ b/drivers/asio/http_message_parser.cpp
@@ -116,8 +116,13 @@
         status = code;
 }
 
-void AnswerParser::on_field_impl(Field, View name, View value, Error &)
+void AnswerParser::on_field_impl(Field field, View name, View value, Error &ec)
 {
+    // The end of a body with another coding is not known, and its bytes would not be the content.
+    if (field == Field::transfer_encoding && lowerCase(value) != "chunked") {
+        ec = http::error::bad_transfer_encoding;
+        return;
+    }
     // Trailers are not relayed.
     if (!is_header_done())
         headers.emplace_back(lowerCase(name), std::string(value));
--- a/tests/servers/gateway/broken_answer_test.cpp
+++ b/tests/servers/gateway/broken_answer_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST_SUITE(GatewayBrokenAnswerTest);
     CPPUNIT_TEST(brokenStatusDoesNotReachTheCaller);
     CPPUNIT_TEST(brokenHeadDoesNotReachTheCaller);
+    CPPUNIT_TEST(unclearEndDoesNotReachTheCaller);
     CPPUNIT_TEST(brokenTrailerDoesNotReachTheCaller);
     CPPUNIT_TEST(unusualAnswerReachesTheCaller);
     CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,7 @@
 public:
     void brokenStatusDoesNotReachTheCaller() { expectNone<GatewayFront>(brokenStatusLines); }
     void brokenHeadDoesNotReachTheCaller() { expectNone<GatewayFront>(brokenHeads); }
+    void unclearEndDoesNotReachTheCaller() { expectNone<GatewayFront>(unclearEnds); }
     void brokenTrailerDoesNotReachTheCaller() { expectNone<GatewayFront>(brokenTrailers); }
     void unusualAnswerReachesTheCaller() { expectSound<GatewayFront>(); }
 };
