Report no status for an answer whose head was not delivered

A broken head such as "HTTP/1.1 503" with a blank in a name ended its call as broken, but with the status 503. No caller was seen to get it: the end of a call is judged by its result first, but RelayedFeed passes the status of a failed call on and takes 503 for a refusal of its reader.

Cause: the end took the status from the parser, which may have read it from a head that it then refused. It now takes it from a delivered head only.

Evidence: BrokenAnswerTest, on the client's socket: brokenHead... and unclearEnd... failed on the code before.

--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -339,7 +339,8 @@
 {
     const auto self = shared_from_this();
     const auto handler = std::exchange(m_handler, nullptr);
-    const int status = m_parser ? m_parser->status : 0;
+    // A head that was not delivered may hold a status that its answer does not have.
+    const int status = m_headDelivered ? m_parser->status : 0;
     const bool closing = m_closing && result == UpstreamResult::Complete;
     shut();
     if (handler)
--- /dev/null
+++ b/tests/drivers/broken_answer_test.cpp
@@ -0,0 +1,245 @@
+#include "drivers/asio/asio_event_loop.h"
+#include "drivers/asio/asio_upstream_client.h"
+#include "drivers/object_store/http_object_store.h"
+#include "drivers/vm_list/http_vm_list.h"
+#include "tests/support/broken_answers.h"
+#include "tests/support/counting_metrics.h"
+#include "tests/support/raw_server.h"
+
+#include <boost/asio/post.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <condition_variable>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace hawthornslip::test {
+
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kPatience{10};
+
+/** Collects an answer and lets the test wait for its end. */
+class Collector : public UpstreamHandler
+{
+public:
+    void onHeaders(int httpStatus,
+                   const std::vector<std::pair<std::string, std::string>> &) override
+    {
+        status = httpStatus;
+        if (whenHead)
+            whenHead();
+    }
+    bool onData(std::string_view piece) override
+    {
+        body += piece;
+        return true;
+    }
+    void onEnd(const UpstreamEnd &it) override
+    {
+        end = it;
+        m_ended.set_value(Steady::now());
+    }
+
+    /** @return the time from @p from to the end. */
+    Steady::duration waitEnd(Steady::time_point from)
+    {
+        auto ended = m_ended.get_future();
+        CPPUNIT_ASSERT(ended.wait_for(kPatience) == std::future_status::ready);
+        return ended.get() - from;
+    }
+
+    int status = 0;
+    std::string body;
+    UpstreamEnd end;
+    std::function<void()> whenHead;
+
+private:
+    std::promise<Steady::time_point> m_ended;
+};
+
+/** A client whose thread a test can hold up. */
+class TestedClient
+{
+public:
+    virtual ~TestedClient() = default;
+    /** Runs @p task where the client may be used. */
+    virtual void run(std::function<void(UpstreamClient &)> task) = 0;
+    virtual std::string name() const = 0;
+};
+
+class TestedAsioClient : public TestedClient
+{
+public:
+    ~TestedAsioClient() override
+    {
+        boost::asio::post(m_loop.context(), [this] { m_client.reset(); });
+        boost::asio::post(m_loop.context(), [this] { m_loop.stop(); });
+        m_thread.join();
+    }
+    void run(std::function<void(UpstreamClient &)> task) override
+    {
+        boost::asio::post(m_loop.context(), [this, task = std::move(task)] { task(*m_client); });
+    }
+    std::string name() const override { return "asio"; }
+
+private:
+    AsioEventLoop m_loop;
+    std::unique_ptr<AsioUpstreamClient> m_client =
+            std::make_unique<AsioUpstreamClient>(m_loop, seconds(3));
+    std::thread m_thread{[this] { m_loop.run(); }};
+};
+
+std::vector<std::unique_ptr<TestedClient>> testedClients()
+{
+    std::vector<std::unique_ptr<TestedClient>> clients;
+    clients.push_back(std::make_unique<TestedAsioClient>());
+    return clients;
+}
+
+UpstreamRequest requestTo(const RawServer &server, std::size_t bodyBytes = 0)
+{
+    UpstreamRequest request;
+    request.url = server.url() + "/";
+    request.headers = {{"host", "x"}};
+    request.body = std::string(bodyBytes, 'u');
+    request.totalTimeout = kCallTimeout;
+    request.sendOnce = true;
+    return request;
+}
+
+void send(TestedClient &client, const UpstreamRequest &request,
+          const std::shared_ptr<UpstreamHandler> &handler)
+{
+    client.run([request, handler](UpstreamClient &it) { it.send(request, handler); });
+}
+
+void answerRaw(RawConnection &it, const RawAnswer &answer)
+{
+    it.readMessage();
+    it.send(answer.bytes);
+    if (answer.closes)
+        it.close();
+    else
+        it.waitClosed();
+}
+
+} // namespace
+
+/** Answers that are none, over sockets, at each client of back ends. */
+class BrokenAnswerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BrokenAnswerTest);
+    CPPUNIT_TEST(brokenStatusFailsTheCallAtOnce);
+    CPPUNIT_TEST(brokenHeadFailsTheCallAtOnce);
+    CPPUNIT_TEST(unclearEndFailsTheCallAtOnce);
+    CPPUNIT_TEST(brokenTrailerFailsTheCall);
+    CPPUNIT_TEST(unusualAnswerIsNotRefused);
+    CPPUNIT_TEST(brokenAnswerOfThePlatformIsNoAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void brokenStatusFailsTheCallAtOnce() { expectBroken(brokenStatusLines("")); }
+
+    void brokenHeadFailsTheCallAtOnce() { expectBroken(brokenHeads("")); }
+
+    void unclearEndFailsTheCallAtOnce() { expectBroken(unclearEnds("")); }
+
+    // Guards against trailers that another parser would read as something else.
+    void brokenTrailerFailsTheCall()
+    {
+        CaseReport report;
+        for (const auto &it : testedClients()) {
+            for (const auto &answer : brokenTrailers(""))
+                report.expect(call(*it, answer, report)->end.result == UpstreamResult::Broken,
+                              it->name() + ": " + visible(answer.bytes));
+        }
+        report.check();
+    }
+
+    void unusualAnswerIsNotRefused()
+    {
+        CaseReport report;
+        for (const auto &it : testedClients()) {
+            for (const auto &answer : soundAnswers("")) {
+                const auto collector = call(*it, answer, report);
+                report.expect(collector->end.result == UpstreamResult::Complete &&
+                                      collector->status == answer.status &&
+                                      collector->body == kSoundBody,
+                              it->name() + ": " + visible(answer.bytes));
+            }
+        }
+        report.check();
+    }
+
+    // Guards against a write that counts as refused, and against a list without nodes, because of
+    // bytes that are no answer of the store or of the list.
+    void brokenAnswerOfThePlatformIsNoAnswer()
+    {
+        const std::vector<std::pair<std::string, std::string>> answers = {
+                {"HTTP/1.1 000 Trouble\r\n", ""},
+                {"HTTP/1.1 200 OK\r\nX Trouble: 1\r\n", "Etag: \"7\"\r\n"},
+                {"HTTP/1.1 412 Conflict\r\nContent-Length : 12\r\n", ""},
+                {"HTTP/1.1 503 Full\r\nX\x01Trouble: 1\r\n", ""}};
+        for (const auto &[head, fields] : answers) {
+            const std::string bytes = head + fields + "Content-Length: 12\r\n\r\n{\"vms\":[]   }";
+            RawServer server([&](RawConnection &it, int) { answerRaw(it, {bytes}); });
+            for (const auto &it : testedClients()) {
+                CountingMetrics metrics;
+                std::promise<StoreError> written;
+                std::promise<StoreError> read;
+                std::promise<bool> listed;
+                const auto start = Steady::now();
+                it->run([&](UpstreamClient &client) {
+                    HttpObjectStore store(client, metrics, server.url(), kCallTimeout);
+                    store.put("a/b", "v", 1,
+                              [&](const auto &result) { written.set_value(result.error); });
+                    store.get("a/b", [&](const auto &result) { read.set_value(result.error); });
+                    HttpVmList list(client, server.url(), kCallTimeout);
+                    list.fetch([&](const auto &entries) { listed.set_value(entries.has_value()); });
+                });
+                CPPUNIT_ASSERT(written.get_future().get() == StoreError::Unknown);
+                CPPUNIT_ASSERT(read.get_future().get() == StoreError::Unavailable);
+                CPPUNIT_ASSERT(!listed.get_future().get());
+                CPPUNIT_ASSERT_MESSAGE(visible(bytes), Steady::now() - start < kAtOnce);
+            }
+        }
+    }
+
+private:
+    static std::shared_ptr<Collector> call(TestedClient &client, const RawAnswer &answer,
+                                           CaseReport &report)
+    {
+        RawServer server([&](RawConnection &it, int) { answerRaw(it, answer); });
+        const auto collector = std::make_shared<Collector>();
+        const auto start = Steady::now();
+        send(client, requestTo(server), collector);
+        report.expect(collector->waitEnd(start) < kAtOnce,
+                      client.name() + " waits: " + visible(answer.bytes));
+        return collector;
+    }
+
+    static void expectBroken(const std::vector<RawAnswer> &answers)
+    {
+        CaseReport report;
+        for (const auto &it : testedClients()) {
+            for (const auto &answer : answers) {
+                const auto collector = call(*it, answer, report);
+                report.expect(collector->end.result == UpstreamResult::Broken &&
+                                      collector->end.httpStatus == 0 && collector->status == 0 &&
+                                      collector->body.empty(),
+                              it->name() + ": " + visible(answer.bytes));
+            }
+        }
+        report.check();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
+
+} // namespace hawthornslip::test
