Fail a call as soon as a line of its head cannot be one

A broken line in a head that arrived in several parts was found only with the end of the head. From a worker that stopped there, the caller waited until its time limit.

Cause: Beast's put() looks at an unfinished head once and after that only for the empty line. AnswerParser::read() gives an unfinished head to a new parser each time, so that its error shows at once, and reads the head when it is whole. The settings of the parser move to its constructor, for other users of it.

Evidence: MisbehavingPeerTest::brokenLineAfterAPartOfTheHeadIsNotWaitedOut failed on the code before (no end within ten seconds). BrokenAnswerTest:: unfinishedHeadThatIsBrokenIsNotWaitedOut, with the bytes in one part, passed before. The fuzz target of messages reads answers in two parts and checks the range of the status.

--- a/drivers/asio/http_message_parser.cpp
+++ b/drivers/asio/http_message_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "core/ascii.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
@@ -17,6 +18,7 @@
 
 // Memory set aside at once for a body; a caller that announces more has to send it first.
 constexpr std::uint64_t kLargestReserve = 64 << 10;
+constexpr std::uint32_t kMaxHeadBytes = 32 << 10;
 constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kLastStatus = 599;
@@ -107,6 +109,22 @@
     return body.size();
 }
 
+AnswerParser::AnswerParser()
+{
+    eager(true);
+    header_limit(kMaxHeadBytes);
+    body_limit(boost::none);
+}
+
+std::size_t AnswerParser::read(std::string_view bytes, Error &ec)
+{
+    if (is_header_done() || bytes.find("\r\n\r\n") != std::string_view::npos)
+        return put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+    // put() looks at an unfinished line only once and then waits for the end of the head.
+    AnswerParser().put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+    return 0;
+}
+
 void AnswerParser::on_response_impl(int code, View, int, Error &ec)
 {
     // No request asks for another protocol.
--- a/drivers/asio/http_message_parser.h
+++ b/drivers/asio/http_message_parser.h
@@ -54,12 +54,26 @@
     std::uint64_t m_announcedBytes = 0;
 };
 
-/** Reads one answer from bytes; the body is handed on as it comes. */
+/**
+ * Reads one answer from bytes; the body is handed on as it comes. Bytes that are no HTTP/1 answer,
+ * or whose end is told in two ways, are an error.
+ */
 class AnswerParser : public boost::beast::http::basic_parser<false>
 {
 public:
     using Error = boost::beast::error_code;
 
+    AnswerParser();
+
+    /**
+     * Reads from @p bytes. An unfinished head is read only once it is whole, but what cannot be the
+     * beginning of one is an error at once.
+     *
+     * @param ec @c need_more when the bytes are sound and unfinished.
+     * @return the number of bytes that were read; the others are to be passed again with more.
+     */
+    std::size_t read(std::string_view bytes, Error &ec);
+
     /** From 100 to 599; 0 before the status line was read. */
     int status = 0;
     HttpHeaders headers;
--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -170,7 +170,7 @@
 bool UpstreamConnection::parseStep()
 {
     AnswerParser::Error ec;
-    const std::size_t n = m_parser->put(boost::asio::buffer(m_in), ec);
+    const std::size_t n = m_parser->read(m_in, ec);
     m_in.erase(0, n);
     if (ec && ec != http::error::need_more) {
         finish(UpstreamResult::Broken, ec.message());
@@ -330,9 +330,7 @@
 {
     m_headDelivered = false;
     m_parser = std::make_unique<AnswerParser>();
-    m_parser->eager(true);
     m_parser->skip(m_request.method == "HEAD");
-    m_parser->body_limit(boost::none);
 }
 
 void UpstreamConnection::finish(UpstreamResult result, std::string message)
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(repeatedRequestDoesNotReuseItsConnection);
     CPPUNIT_TEST(bytesOnAnIdleConnectionKeepItFromBeingUsed);
     CPPUNIT_TEST(endlessBytesEndTheCall);
+    CPPUNIT_TEST(brokenLineAfterAPartOfTheHeadIsNotWaitedOut);
     CPPUNIT_TEST(answerThatEndsEarlyIsBroken);
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
     CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
@@ -182,6 +183,24 @@
         }
     }
 
+    // Guards against a parser that looks at an unfinished head once and then only for its end.
+    void brokenLineAfterAPartOfTheHeadIsNotWaitedOut()
+    {
+        const std::string begin = "HTTP/1.1 200 OK\r\nX-First: 1\r\nX-Second";
+        for (const std::string rest : {" : 1\r\n", ": 2\r\nX Third: 3\r\n", ": 2\r\nX\x01",
+                                       ": 2\x01", ": 2\r\nContent-Length: x\r\nX"}) {
+            const auto handler = sendToPeer("1");
+            auto &peer = acceptPeer();
+            peer.expect("\r\n\r\n");
+            peer.send(begin);
+            m_loop->context().poll();
+            peer.send(rest);
+            runUntil(*m_loop, [&] { return handler->ended; });
+            CPPUNIT_ASSERT_MESSAGE(rest, handler->end.result == UpstreamResult::Broken);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, 0, handler->status);
+        }
+    }
+
     // Guards against an answer that its upstream broke off at any byte, and that reaches the caller
     // as a whole one.
     void answerThatEndsEarlyIsBroken()
--- a/tests/drivers/broken_answer_test.cpp
+++ b/tests/drivers/broken_answer_test.cpp
@@ -139,6 +139,7 @@
     CPPUNIT_TEST(brokenHeadFailsTheCallAtOnce);
     CPPUNIT_TEST(unclearEndFailsTheCallAtOnce);
     CPPUNIT_TEST(brokenTrailerFailsTheCall);
+    CPPUNIT_TEST(unfinishedHeadThatIsBrokenIsNotWaitedOut);
     CPPUNIT_TEST(unusualAnswerIsNotRefused);
     CPPUNIT_TEST(brokenAnswerOfThePlatformIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
@@ -162,6 +163,20 @@
         report.check();
     }
 
+    // Guards against a call that waits for the rest of a head which cannot become one.
+    void unfinishedHeadThatIsBrokenIsNotWaitedOut()
+    {
+        std::vector<RawAnswer> answers = {{"Trouble without an end"},
+                                          {"HTTP/1.1 000 Trouble\r\nX-Trouble: 1"},
+                                          {"HTTP/1.1 600 Trouble\r\n"}};
+        for (const auto &it : brokenFields())
+            answers.push_back({"HTTP/1.1 200 OK\r\nX-First: 1\r\nX-Second: 2\r\n" + it + "\r\n"});
+        // As a later line it continues the one before.
+        std::erase_if(answers,
+                      [](const auto &it) { return it.bytes.find("\r\n ") != std::string::npos; });
+        expectBroken(answers);
+    }
+
     void unusualAnswerIsNotRefused()
     {
         CaseReport report;
--- a/tests/fuzz/http_message_fuzz.cpp
+++ b/tests/fuzz/http_message_fuzz.cpp
@@ -3,10 +3,12 @@
 #include "platform/wire_headers.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
+#include <string>
 #include <string_view>
 
 namespace {
@@ -25,6 +27,26 @@
     }
 }
 
+/** Reads an answer from bytes that arrive in two parts. */
+void feedAnswer(hawthornslip::AnswerParser &parser, std::string_view bytes)
+{
+    constexpr int kFirstStatus = 100;
+    constexpr int kLastStatus = 599;
+    std::string in;
+    boost::beast::error_code ec;
+    for (const auto part : {bytes.substr(0, bytes.size() / 2), bytes.substr(bytes.size() / 2)}) {
+        in += part;
+        for (std::size_t n = 1; n > 0 && !in.empty() && !parser.is_done();) {
+            n = parser.read(in, ec);
+            in.erase(0, n);
+            if (ec && ec != boost::beast::http::error::need_more)
+                return;
+        }
+    }
+    if (parser.is_header_done() && (parser.status < kFirstStatus || parser.status > kLastStatus))
+        std::abort();
+}
+
 constexpr std::size_t kMaxFieldBytes = 16 << 10;
 
 /** Ends the program when a request holds more than it states, or more fields than it may. */
@@ -51,7 +73,7 @@
     static_cast<void>(request.isFramingClear());
     static_cast<void>(platform::WireHeaders().readRequest(request.request.headers));
     AnswerParser answer;
-    feed(answer, bytes);
+    feedAnswer(answer, bytes);
     static_cast<void>(platform::WireHeaders().readResponse(answer.status, answer.headers));
     EventSplitter splitter;
     splitter.add(bytes.substr(0, size / 2), [](const StreamEvent &) {});
