Read the heads of libcurl's answers with the answer parser

Callers of a daemon got answers whose head is none: with a blank, a tab, a control byte, DEL or nothing in a name, a control byte or CR in a value or a reason, also in an interim head. With "X Trouble: 1" the daemon's own listener then left out headers of its answer, and with "Transfer-Encoding : chunked" the caller got the chunk lines as the body. Two different lengths, a length beside chunks and unknown transfer codings passed as well; a 101 was waited out. 000, 600 and 999 did not reach callers of a daemon: its request path answered 502, but libcurl's client passed 600 and 999 on.

Cause: libcurl checks no names and few values, and CurlTransfer split the lines without a check. It now gives each line of the head to AnswerParser, as the gateway's client does, and ends the transfer when the parser refuses it. So there is one rule for both clients.

--- a/drivers/http/curl_transfer.cpp
+++ b/drivers/http/curl_transfer.cpp
@@ -1,34 +1,23 @@
 #include "drivers/http/curl_transfer.h"
 
-#include "core/ascii.h"
+#include "drivers/asio/http_message_parser.h"
 
+#include <boost/beast/http/error.hpp>
 #include <curl/curl.h>
 
 #include <algorithm>
-#include <cctype>
-#include <charconv>
 
 namespace hawthornslip {
 
 namespace {
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && std::isspace(static_cast<unsigned char>(text.front())) != 0)
-        text.remove_prefix(1);
-    while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0)
-        text.remove_suffix(1);
-    return text;
-}
+namespace http = boost::beast::http;
 
-int statusOf(std::string_view statusLine)
+std::unique_ptr<AnswerParser> makeParser(const UpstreamRequest &request)
 {
-    int status = 0;
-    const auto space = statusLine.find(' ');
-    if (space != std::string_view::npos)
-        std::from_chars(statusLine.data() + space + 1, statusLine.data() + statusLine.size(),
-                        status);
-    return status;
+    auto parser = std::make_unique<AnswerParser>();
+    parser->skip(request.method == "HEAD");
+    return parser;
 }
 
 } // namespace
@@ -36,6 +25,7 @@
 CurlTransfer::CurlTransfer(UpstreamRequest request, std::shared_ptr<UpstreamHandler> handler)
     : m_request(std::move(request))
     , m_handler(std::move(handler))
+    , m_parser(makeParser(m_request))
     , m_start(std::chrono::steady_clock::now())
     , m_lastActivity(m_start)
 {}
@@ -155,33 +145,29 @@
 {
     auto &transfer = *static_cast<CurlTransfer *>(self);
     transfer.m_lastActivity = std::chrono::steady_clock::now();
-    transfer.headerLine(std::string_view(data, size * count));
-    return size * count;
+    // Any other number ends the transfer.
+    return transfer.readHeaderLine(std::string_view(data, size * count)) ? size * count : 0;
 }
 
-void CurlTransfer::headerLine(std::string_view line)
+bool CurlTransfer::readHeaderLine(std::string_view line)
 {
     constexpr int kFirstFinalStatus = 200;
     if (m_headersDone)
-        return; // a trailer
-    if (line.starts_with("HTTP/")) {
-        m_headers.clear();
-        m_status = statusOf(line);
-        return;
+        return true; // a trailer
+    m_in += line;
+    AnswerParser::Error ec;
+    m_parser->read(m_in, ec);
+    if (!m_parser->is_header_done())
+        return ec == http::error::need_more;
+    m_in.clear();
+    if (m_parser->status < kFirstFinalStatus) {
+        m_parser = makeParser(m_request);
+        return true;
     }
-    line = trimmed(line);
-    if (line.empty()) {
-        if (m_status < kFirstFinalStatus)
-            return;
-        m_headersDone = true;
-        m_handler->onHeaders(m_status, m_headers);
-        return;
-    }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return;
-    m_headers.emplace_back(toLowerAscii(line.substr(0, colon)),
-                           std::string(trimmed(line.substr(colon + 1))));
+    m_headersDone = true;
+    m_status = m_parser->status;
+    m_handler->onHeaders(m_status, m_parser->headers);
+    return true;
 }
 
 std::size_t CurlTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
--- a/drivers/http/curl_transfer.h
+++ b/drivers/http/curl_transfer.h
@@ -14,6 +14,7 @@
 
 namespace hawthornslip {
 
+class AnswerParser;
 class CurlUpstreamClient;
 
 /** One call on the loop of a CurlUpstreamClient; belongs to the loop's thread but for its creation.
@@ -54,14 +55,17 @@
 private:
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
-    void headerLine(std::string_view line);
+    /** Reads a line of the head. @return false to end the transfer. */
+    bool readHeaderLine(std::string_view line);
     bool nothingSent() const;
 
     UpstreamRequest m_request;
     std::shared_ptr<UpstreamHandler> m_handler;
     void *m_easy = nullptr;
     curl_slist *m_headerList = nullptr;
-    std::vector<std::pair<std::string, std::string>> m_headers;
+    std::unique_ptr<AnswerParser> m_parser;
+    /** Lines of an unfinished head. */
+    std::string m_in;
     int m_status = 0;
     bool m_headersDone = false;
     bool m_firstByte = false;
