Deliver an answer of libcurl's client that is whole before its upload

Callers of a daemon lost answers: a worker that answered a long upload at once with a whole 200, with a length or in chunks, and then reset the connection or stopped reading got 502, or a wait until the time limit. And a broken line in the trailers did not fail the attempt.

Cause: libcurl goes on with the upload when an answer below 300 is whole, and its failed write ends the transfer; it reports trailers as they come. CurlTransfer now reads the bodies with AnswerParser as well (libcurl passes them with their chunks), so it knows when an answer is whole: that ends the call as complete, and the connection when the upload is unfinished.

--- a/drivers/http/curl_transfer.cpp
+++ b/drivers/http/curl_transfer.cpp
@@ -13,6 +13,9 @@
 
 namespace http = boost::beast::http;
 
+// Unfinished line of a chunk, or unfinished trailers.
+constexpr std::size_t kMaxUnfinishedBytes = 16 << 10;
+
 std::unique_ptr<AnswerParser> makeParser(const UpstreamRequest &request)
 {
     auto parser = std::make_unique<AnswerParser>();
@@ -75,6 +78,8 @@
         m_headerList = curl_slist_append(m_headerList, line.c_str());
     }
     curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headerList);
+    // The parser reads the chunks.
+    curl_easy_setopt(m_easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::onHeader);
     curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &CurlTransfer::onBody);
@@ -133,12 +138,27 @@
     return requestBytes == 0;
 }
 
+bool CurlTransfer::isRequestWritten() const
+{
+    curl_off_t n = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_SIZE_UPLOAD_T, &n);
+    return static_cast<std::size_t>(n) >= m_request.content().size();
+}
+
+bool CurlTransfer::isDoneBeforeRequest() const
+{
+    return m_parser->is_done() && !isRequestWritten();
+}
+
 UpstreamResult CurlTransfer::resultOf(int code) const
 {
-    // libcurl takes the end of the connection within the head for the end of the head.
-    if (code == CURLE_OK)
-        return m_headersDone ? UpstreamResult::Complete : UpstreamResult::Broken;
-    return nothingSent() ? UpstreamResult::ConnectFailed : UpstreamResult::Broken;
+    if (m_headersDone && m_parser->is_done())
+        return UpstreamResult::Complete;
+    if (code != CURLE_OK)
+        return nothingSent() ? UpstreamResult::ConnectFailed : UpstreamResult::Broken;
+    // libcurl takes any end of the connection for the end of a head, or of a body without a length.
+    const bool isEnded = m_headersDone && m_parser->need_eof();
+    return isEnded ? UpstreamResult::Complete : UpstreamResult::Broken;
 }
 
 std::size_t CurlTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
@@ -152,14 +172,12 @@
 bool CurlTransfer::readHeaderLine(std::string_view line)
 {
     constexpr int kFirstFinalStatus = 200;
-    if (m_headersDone)
-        return true; // a trailer
     m_in += line;
     AnswerParser::Error ec;
-    m_parser->read(m_in, ec);
+    const std::size_t n = m_parser->read(m_in, ec);
     if (!m_parser->is_header_done())
         return ec == http::error::need_more;
-    m_in.clear();
+    m_in.erase(0, n);
     if (m_parser->status < kFirstFinalStatus) {
         m_parser = makeParser(m_request);
         return true;
@@ -167,7 +185,7 @@
     m_headersDone = true;
     m_status = m_parser->status;
     m_handler->onHeaders(m_status, m_parser->headers);
-    return true;
+    return !isDoneBeforeRequest();
 }
 
 std::size_t CurlTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
@@ -175,10 +193,27 @@
     auto &transfer = *static_cast<CurlTransfer *>(self);
     transfer.m_firstByte = true;
     transfer.m_lastActivity = std::chrono::steady_clock::now();
-    if (transfer.m_handler->onData(std::string_view(data, size * count)))
-        return size * count;
-    transfer.m_paused = true;
-    return CURL_WRITEFUNC_PAUSE;
+    const std::string_view bytes(data, size * count);
+    if (!transfer.readBody(bytes.substr(std::min(transfer.m_readAhead, bytes.size()))))
+        return 0;
+    transfer.m_readAhead = 0;
+    if (!transfer.m_parser->body.empty() && !transfer.m_handler->onData(transfer.m_parser->body)) {
+        transfer.m_readAhead = bytes.size();
+        transfer.m_paused = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    transfer.m_parser->body.clear();
+    return transfer.isDoneBeforeRequest() ? 0 : bytes.size();
+}
+
+bool CurlTransfer::readBody(std::string_view bytes)
+{
+    m_in += bytes;
+    AnswerParser::Error ec;
+    while (!ec && !m_in.empty() && !m_parser->is_done())
+        m_in.erase(0, m_parser->read(m_in, ec));
+    const bool isSound = !ec || ec == http::error::need_more;
+    return isSound && m_in.size() <= kMaxUnfinishedBytes;
 }
 
 } // namespace hawthornslip
--- a/drivers/http/curl_transfer.h
+++ b/drivers/http/curl_transfer.h
@@ -57,15 +57,22 @@
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
     /** Reads a line of the head. @return false to end the transfer. */
     bool readHeaderLine(std::string_view line);
+    /** Reads a part of the body. @return false to end the transfer. */
+    bool readBody(std::string_view bytes);
     bool nothingSent() const;
+    bool isRequestWritten() const;
+    /** @return true when the answer is whole and the connection can serve no other request. */
+    bool isDoneBeforeRequest() const;
 
     UpstreamRequest m_request;
     std::shared_ptr<UpstreamHandler> m_handler;
     void *m_easy = nullptr;
     curl_slist *m_headerList = nullptr;
     std::unique_ptr<AnswerParser> m_parser;
-    /** Lines of an unfinished head. */
+    /** Bytes that the parser did not take yet. */
     std::string m_in;
+    /** Bytes of a refused part of the body, which libcurl passes once more. */
+    std::size_t m_readAhead = 0;
     int m_status = 0;
     bool m_headersDone = false;
     bool m_firstByte = false;
--- a/tests/drivers/broken_answer_test.cpp
+++ b/tests/drivers/broken_answer_test.cpp
@@ -23,6 +23,8 @@
 
 using Steady = std::chrono::steady_clock;
 
+// More than the buffers of both sockets hold.
+constexpr std::size_t kUploadBytes = 32 << 20;
 constexpr std::chrono::seconds kPatience{10};
 
 /** Collects an answer and lets the test wait for its end. */
@@ -179,8 +181,10 @@
     CPPUNIT_TEST(brokenStatusFailsTheCallAtOnce);
     CPPUNIT_TEST(brokenHeadFailsTheCallAtOnce);
     CPPUNIT_TEST(unclearEndFailsTheCallAtOnce);
+    CPPUNIT_TEST(brokenTrailerFailsTheCall);
     CPPUNIT_TEST(unfinishedHeadThatIsBrokenIsNotWaitedOut);
     CPPUNIT_TEST(unusualAnswerIsNotRefused);
+    CPPUNIT_TEST(wholeAnswerBeforeTheEndOfTheUploadIsDelivered);
     CPPUNIT_TEST(brokenAnswerOfThePlatformIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +195,18 @@
 
     void unclearEndFailsTheCallAtOnce() { expectBroken(unclearEnds("")); }
 
+    // Guards against trailers that another parser would read as something else.
+    void brokenTrailerFailsTheCall()
+    {
+        CaseReport report;
+        for (const auto &it : testedClients()) {
+            for (const auto &answer : brokenTrailers(""))
+                report.expect(call(*it, answer, report)->end.result == UpstreamResult::Broken,
+                              it->name() + ": " + visible(answer.bytes));
+        }
+        report.check();
+    }
+
     // Guards against a call that waits for the rest of a head which cannot become one.
     void unfinishedHeadThatIsBrokenIsNotWaitedOut()
     {
@@ -220,6 +236,23 @@
         report.check();
     }
 
+    // Guards against an answer that is lost because its upstream takes no more of the request.
+    void wholeAnswerBeforeTheEndOfTheUploadIsDelivered()
+    {
+        CaseReport report;
+        for (const auto &it : testedClients()) {
+            for (const int status : {200, 413}) {
+                for (const auto cut : {Cut::Reset, Cut::EndOfStream}) {
+                    for (const auto end : {BodyEnd::Length, BodyEnd::Chunks}) {
+                        for (const std::size_t size : {std::size_t(6), std::size_t(50'000)})
+                            expectWhole(*it, status, cut, end, size, report);
+                    }
+                }
+            }
+        }
+        report.check();
+    }
+
     // Guards against a write that counts as refused, and against a list without nodes, because of
     // bytes that are no answer of the store or of the list.
     void brokenAnswerOfThePlatformIsNoAnswer()
@@ -255,6 +288,8 @@
     }
 
 private:
+    enum class Cut { Reset, EndOfStream };
+
     static std::shared_ptr<Collector> call(TestedClient &client, const RawAnswer &answer,
                                            CaseReport &report)
     {
@@ -267,6 +302,20 @@
         return collector;
     }
 
+    static void expectWhole(TestedClient &client, int status, Cut cut, BodyEnd end,
+                            std::size_t size, CaseReport &report)
+    {
+        const std::string body(size, 'a');
+        const auto answer = makeAnswer(fmt::format("HTTP/1.1 {} Early", status), "", end, body);
+        const auto collector = uploadAndCut(client, answer.bytes, cut, report);
+        report.expect(collector->body == body && collector->status == status &&
+                              collector->end.result == UpstreamResult::Complete,
+                      fmt::format("{}: status {}, cut {}, end {}, {} of {} bytes, {}",
+                                  client.name(), status, static_cast<int>(cut),
+                                  static_cast<int>(end), collector->body.size(), size,
+                                  collector->end.message));
+    }
+
     static void expectBroken(const std::vector<RawAnswer> &answers)
     {
         CaseReport report;
@@ -281,6 +330,45 @@
         }
         report.check();
     }
+
+    /**
+     * Uploads to a peer that sends @p answer and ends the connection without reading the body. The
+     * client's thread sees all of it at once, while its socket takes no more of the upload.
+     */
+    static std::shared_ptr<Collector> uploadAndCut(TestedClient &client, const std::string &answer,
+                                                   Cut cut, CaseReport &report,
+                                                   std::size_t uploadBytes = kUploadBytes)
+    {
+        std::promise<void> begun;
+        std::promise<void> heldUp;
+        std::promise<void> ended;
+        const auto isEnded = ended.get_future().share();
+        const auto isHeldUp = heldUp.get_future().share();
+        std::promise<void> done;
+        const auto isDone = done.get_future().share();
+        RawServer server([&](RawConnection &it, int) {
+            it.readUntil("\r\n\r\n");
+            begun.set_value();
+            isHeldUp.wait_for(kPatience);
+            it.send(answer);
+            if (cut == Cut::Reset) {
+                it.reset();
+                ended.set_value();
+                return;
+            }
+            it.endStream();
+            ended.set_value();
+            isDone.wait_for(kPatience);
+        });
+        const auto collector = std::make_shared<Collector>();
+        send(client, requestTo(server, uploadBytes), collector);
+        CPPUNIT_ASSERT(begun.get_future().wait_for(kPatience) == std::future_status::ready);
+        client.holdUp(isEnded);
+        heldUp.set_value();
+        report.expect(collector->waitEnd(Steady::now()) < kAtOnce, client.name() + " waits");
+        done.set_value();
+        return collector;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- a/tests/servers/caller/broken_answer_test.cpp
+++ b/tests/servers/caller/broken_answer_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(brokenStatusDoesNotReachTheCaller);
     CPPUNIT_TEST(brokenHeadDoesNotReachTheCaller);
     CPPUNIT_TEST(unclearEndDoesNotReachTheCaller);
+    CPPUNIT_TEST(brokenTrailerDoesNotReachTheCaller);
     CPPUNIT_TEST(unusualAnswerReachesTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +45,7 @@
     void brokenStatusDoesNotReachTheCaller() { expectNone<DaemonFront>(brokenStatusLines); }
     void brokenHeadDoesNotReachTheCaller() { expectNone<DaemonFront>(brokenHeads); }
     void unclearEndDoesNotReachTheCaller() { expectNone<DaemonFront>(unclearEnds); }
+    void brokenTrailerDoesNotReachTheCaller() { expectNone<DaemonFront>(brokenTrailers); }
     void unusualAnswerReachesTheCaller() { expectSound<DaemonFront>(); }
 };
 
