Take a reset during an upload for no end of an answer

Callers of a gateway got a part of an answer as the whole ("HTTP/1.1 200 OK, Content-Length: 6" with the part as its body): the worker answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: a reset leaves one error on the socket, which the first call takes, and keeps the bytes that arrived before. Where the loop writes first, write_some() reports ECONNRESET, then read_some() reports the bytes, then an orderly end. The connection concluded a clean end from that end alone. An answer without a length now ends with its connection only if the whole request was written; a failed write leaves a rest. An answer with a length or in chunks that has come whole is delivered as before.

Evidence: BrokenAnswerTest::resetDuringTheUploadIsNoEndOfAnAnswer holds the client's thread up until the bytes and the reset are there; with 32 MiB it failed on the code before at the gateway's client, with 1 MiB (all in the socket's buffer, so no write fails) it passed. On the caller's socket GatewayBrokenAnswerTest::answerCutByAReset... failed before. libcurl's client and the daemon passed before: libcurl ends a call with its failed write. closeAfterTheUploadEndsAnAnswer: the same bytes with a clean end after the upload was read are complete, before and after.

--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -247,8 +247,7 @@
 void UpstreamConnection::onAnswerDone()
 {
     // If an answer does not name its request, a second copy could not be told from the next answer.
-    const bool reusable = !m_closing && m_isNamed && m_in.empty() &&
-                          m_written == m_out.size() + m_largeBody.size();
+    const bool reusable = !m_closing && m_isNamed && m_in.empty() && isRequestWritten();
     if (!m_in.empty())
         logEvent(LogLevel::Info, "extra_bytes_dropped",
                  {{"upstream", m_address}, {"bytes", m_in.size()}});
@@ -278,13 +277,11 @@
         finish(UpstreamResult::Broken, "connection reset");
         return;
     }
-    AnswerParser::Error ec;
-    m_parser->put_eof(ec);
-    // A body without a length ends with the connection.
-    const bool complete = !ec && m_headDelivered && m_parser->is_done();
-    m_endedByClose = complete;
-    finish(complete ? UpstreamResult::Complete : UpstreamResult::Broken,
-           complete ? "" : "connection closed early");
+    // Only a body without a length ends with the connection. After a write that failed the end may
+    // be a reset whose error the write has taken.
+    m_endedByClose = m_headDelivered && m_parser->need_eof() && isRequestWritten();
+    finish(m_endedByClose ? UpstreamResult::Complete : UpstreamResult::Broken,
+           m_endedByClose ? "" : "connection closed early");
 }
 
 void UpstreamConnection::noteKeepAlive()
@@ -303,6 +300,11 @@
         m_keepAlive = seconds(n) - kReuseMargin;
 }
 
+bool UpstreamConnection::isRequestWritten() const
+{
+    return m_written == m_out.size() + m_largeBody.size();
+}
+
 bool UpstreamConnection::mayServe(const std::string &tag)
 {
     if (!tag.empty() && tag == m_lastTag)
--- a/drivers/asio/upstream_connection.h
+++ b/drivers/asio/upstream_connection.h
@@ -61,6 +61,7 @@
     bool deliverBody();
     void onAnswerDone();
     void onPeerClosed(bool clean);
+    bool isRequestWritten() const;
     void noteKeepAlive();
     bool isForeignAnswer() const;
     /** @return true when the answer names a request, or the current request has no tag. */
--- a/tests/drivers/broken_answer_test.cpp
+++ b/tests/drivers/broken_answer_test.cpp
@@ -25,6 +25,8 @@
 
 // More than the buffers of both sockets hold.
 constexpr std::size_t kUploadBytes = 32 << 20;
+// More than the peer's socket takes unread, and less than the client's own socket takes.
+constexpr std::size_t kBufferedBytes = 1 << 20;
 constexpr std::chrono::seconds kPatience{10};
 
 /** Collects an answer and lets the test wait for its end. */
@@ -184,6 +186,8 @@
     CPPUNIT_TEST(brokenTrailerFailsTheCall);
     CPPUNIT_TEST(unfinishedHeadThatIsBrokenIsNotWaitedOut);
     CPPUNIT_TEST(unusualAnswerIsNotRefused);
+    CPPUNIT_TEST(resetDuringTheUploadIsNoEndOfAnAnswer);
+    CPPUNIT_TEST(closeAfterTheUploadEndsAnAnswer);
     CPPUNIT_TEST(wholeAnswerBeforeTheEndOfTheUploadIsDelivered);
     CPPUNIT_TEST(brokenAnswerOfThePlatformIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
@@ -236,6 +240,33 @@
         report.check();
     }
 
+    // Guards against a part of an answer that passes for the whole because a write has taken the
+    // error of the reset, after which reads report an orderly end.
+    void resetDuringTheUploadIsNoEndOfAnAnswer() { expectNoEnd(Cut::Reset); }
+
+    void closeAfterTheUploadEndsAnAnswer()
+    {
+        for (const auto &it : testedClients()) {
+            for (const bool isEarly : {false, true}) {
+                RawServer server([&](RawConnection &connection, int) {
+                    const auto answer =
+                            makeAnswer("HTTP/1.1 200 OK", "", BodyEnd::Close, kSoundBody);
+                    if (isEarly)
+                        connection.send(answer.bytes);
+                    connection.readMessage();
+                    if (!isEarly)
+                        connection.send(answer.bytes);
+                });
+                const auto collector = std::make_shared<Collector>();
+                send(*it, requestTo(server, kUploadBytes), collector);
+                collector->waitEnd(Steady::now());
+                CPPUNIT_ASSERT_MESSAGE(it->name(),
+                                       collector->end.result == UpstreamResult::Complete);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(it->name(), kSoundBody, collector->body);
+            }
+        }
+    }
+
     // Guards against an answer that is lost because its upstream takes no more of the request.
     void wholeAnswerBeforeTheEndOfTheUploadIsDelivered()
     {
@@ -302,6 +333,20 @@
         return collector;
     }
 
+    static void expectNoEnd(Cut cut)
+    {
+        CaseReport report;
+        for (const auto &it : testedClients()) {
+            for (const std::size_t size : {kBufferedBytes, kUploadBytes}) {
+                const auto answer = makeAnswer("HTTP/1.1 200 OK", "", BodyEnd::Close, kBrokenBody);
+                const auto collector = uploadAndCut(*it, answer.bytes, cut, report, size);
+                report.expect(collector->end.result == UpstreamResult::Broken,
+                              fmt::format("{}: {} bytes", it->name(), size));
+            }
+        }
+        report.check();
+    }
+
     static void expectWhole(TestedClient &client, int status, Cut cut, BodyEnd end,
                             std::size_t size, CaseReport &report)
     {
--- a/tests/servers/caller/broken_answer_test.cpp
+++ b/tests/servers/caller/broken_answer_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(brokenHeadDoesNotReachTheCaller);
     CPPUNIT_TEST(unclearEndDoesNotReachTheCaller);
     CPPUNIT_TEST(brokenTrailerDoesNotReachTheCaller);
+    CPPUNIT_TEST(answerCutByAResetDoesNotReachTheCaller);
     CPPUNIT_TEST(unusualAnswerReachesTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
@@ -46,6 +47,7 @@
     void brokenHeadDoesNotReachTheCaller() { expectNone<DaemonFront>(brokenHeads); }
     void unclearEndDoesNotReachTheCaller() { expectNone<DaemonFront>(unclearEnds); }
     void brokenTrailerDoesNotReachTheCaller() { expectNone<DaemonFront>(brokenTrailers); }
+    void answerCutByAResetDoesNotReachTheCaller() { expectNoPart<DaemonFront>(); }
     void unusualAnswerReachesTheCaller() { expectSound<DaemonFront>(); }
 };
 
--- a/tests/servers/gateway/broken_answer_test.cpp
+++ b/tests/servers/gateway/broken_answer_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(brokenHeadDoesNotReachTheCaller);
     CPPUNIT_TEST(unclearEndDoesNotReachTheCaller);
     CPPUNIT_TEST(brokenTrailerDoesNotReachTheCaller);
+    CPPUNIT_TEST(answerCutByAResetDoesNotReachTheCaller);
     CPPUNIT_TEST(unusualAnswerReachesTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +107,7 @@
     void brokenHeadDoesNotReachTheCaller() { expectNone<GatewayFront>(brokenHeads); }
     void unclearEndDoesNotReachTheCaller() { expectNone<GatewayFront>(unclearEnds); }
     void brokenTrailerDoesNotReachTheCaller() { expectNone<GatewayFront>(brokenTrailers); }
+    void answerCutByAResetDoesNotReachTheCaller() { expectNoPart<GatewayFront>(); }
     void unusualAnswerReachesTheCaller() { expectSound<GatewayFront>(); }
 };
 
