Take the end of a process during an upload for no end of an answer

An answer without a length counted as complete when its worker ended with everything read that had arrived, but with a rest of the upload on the way: the system then ends the connection in order, as after a whole answer.

Cause: both clients concluded the end of the answer from the end of the bytes. A peer that has not acknowledged the whole request cannot have read it, so both now ask the socket for bytes written and not acknowledged (SIOCOUTQ): the gateway's client as the end is read, libcurl's as libcurl releases the socket, and libcurl's also whether all was written. The end of the bytes acknowledges all that was received before it, so nothing is left after a peer that has read the request.

--- a/drivers/asio/socket_options.cpp
+++ b/drivers/asio/socket_options.cpp
@@ -1,7 +1,9 @@
 #include "drivers/asio/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -37,6 +39,12 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(toMillis(silence)));
 }
 
+int unacknowledgedBytes(int socket)
+{
+    int n = 0;
+    return ioctl(socket, SIOCOUTQ, &n) == 0 ? n : 0;
+}
+
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view address)
 {
     const auto colon = address.rfind(':');
--- a/drivers/asio/socket_options.h
+++ b/drivers/asio/socket_options.h
@@ -16,6 +16,10 @@
  */
 void configureSocket(boost::asio::ip::tcp::socket &socket, Duration silence);
 
+/** @return bytes written to @p socket that the peer has not acknowledged; 0 when it is not known.
+ */
+int unacknowledgedBytes(int socket);
+
 /** @return the end point `ip:port`, or one with port 0 when @p address is none. */
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view address);
 
--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "drivers/asio/upstream_connection.h"
 
 #include "core/logger.h"
+#include "drivers/asio/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -277,9 +278,9 @@
         finish(UpstreamResult::Broken, "connection reset");
         return;
     }
-    // Only a body without a length ends with the connection. After a write that failed the end may
-    // be a reset whose error the write has taken.
-    m_endedByClose = m_headDelivered && m_parser->need_eof() && isRequestWritten();
+    // Only a body without a length ends with the connection. A peer that has not read the request
+    // did not end its answer but its process; a write may have taken the error of the reset.
+    m_endedByClose = m_headDelivered && m_parser->need_eof() && isRequestReceived();
     finish(m_endedByClose ? UpstreamResult::Complete : UpstreamResult::Broken,
            m_endedByClose ? "" : "connection closed early");
 }
@@ -305,6 +306,11 @@
     return m_written == m_out.size() + m_largeBody.size();
 }
 
+bool UpstreamConnection::isRequestReceived()
+{
+    return isRequestWritten() && unacknowledgedBytes(m_socket.native_handle()) == 0;
+}
+
 bool UpstreamConnection::mayServe(const std::string &tag)
 {
     if (!tag.empty() && tag == m_lastTag)
--- a/drivers/asio/upstream_connection.h
+++ b/drivers/asio/upstream_connection.h
@@ -62,6 +62,8 @@
     void onAnswerDone();
     void onPeerClosed(bool clean);
     bool isRequestWritten() const;
+    /** @return false when the peer cannot have read the whole request. */
+    bool isRequestReceived();
     void noteKeepAlive();
     bool isForeignAnswer() const;
     /** @return true when the answer names a request, or the current request has no tag. */
--- a/drivers/http/curl_transfer.cpp
+++ b/drivers/http/curl_transfer.cpp
@@ -1,6 +1,7 @@
 #include "drivers/http/curl_transfer.h"
 
 #include "drivers/asio/http_message_parser.h"
+#include "drivers/asio/socket_options.h"
 
 #include <boost/beast/http/error.hpp>
 #include <curl/curl.h>
@@ -145,6 +146,11 @@
     return static_cast<std::size_t>(n) >= m_request.content().size();
 }
 
+void CurlTransfer::onSocketReleased(int socket)
+{
+    m_isAcknowledged = unacknowledgedBytes(socket) == 0;
+}
+
 bool CurlTransfer::isDoneBeforeRequest() const
 {
     return m_parser->is_done() && !isRequestWritten();
@@ -157,7 +163,9 @@
     if (code != CURLE_OK)
         return nothingSent() ? UpstreamResult::ConnectFailed : UpstreamResult::Broken;
     // libcurl takes any end of the connection for the end of a head, or of a body without a length.
-    const bool isEnded = m_headersDone && m_parser->need_eof();
+    // A peer that has not read the request did not end its answer but its process.
+    const bool isEnded =
+            m_headersDone && m_parser->need_eof() && isRequestWritten() && m_isAcknowledged;
     return isEnded ? UpstreamResult::Complete : UpstreamResult::Broken;
 }
 
--- a/drivers/http/curl_transfer.h
+++ b/drivers/http/curl_transfer.h
@@ -49,6 +49,9 @@
     /** @return the result for libcurl's code @p code. */
     UpstreamResult resultOf(int code) const;
 
+    /** Notes the state of the connection before libcurl closes @p socket or keeps it for reuse. */
+    void onSocketReleased(int socket);
+
     /** @return the status of the answer, 0 before it arrived. */
     int httpStatus() const { return m_status; }
 
@@ -73,6 +76,8 @@
     std::string m_in;
     /** Bytes of a refused part of the body, which libcurl passes once more. */
     std::size_t m_readAhead = 0;
+    /** The peer had acknowledged all that was written when libcurl released the socket. */
+    bool m_isAcknowledged = true;
     int m_status = 0;
     bool m_headersDone = false;
     bool m_firstByte = false;
--- a/drivers/http/curl_upstream_client.cpp
+++ b/drivers/http/curl_upstream_client.cpp
@@ -223,10 +223,12 @@
     m_timers.emplace(when, transfer);
 }
 
-int CurlUpstreamClient::onSocket(void * /*easy*/, int socket, int what, void *self, void *known)
+int CurlUpstreamClient::onSocket(void *easy, int socket, int what, void *self, void *known)
 {
     auto &client = *static_cast<CurlUpstreamClient *>(self);
     if (what == CURL_POLL_REMOVE) {
+        if (const auto it = client.m_transfers.find(easy); it != client.m_transfers.end())
+            it->second->onSocketReleased(socket);
         epoll_ctl(client.m_epoll, EPOLL_CTL_DEL, socket, nullptr);
         return 0;
     }
--- a/tests/drivers/broken_answer_test.cpp
+++ b/tests/drivers/broken_answer_test.cpp
@@ -187,6 +187,7 @@
     CPPUNIT_TEST(unfinishedHeadThatIsBrokenIsNotWaitedOut);
     CPPUNIT_TEST(unusualAnswerIsNotRefused);
     CPPUNIT_TEST(resetDuringTheUploadIsNoEndOfAnAnswer);
+    CPPUNIT_TEST(closeBeforeTheUploadWasReadIsNoEndOfAnAnswer);
     CPPUNIT_TEST(closeAfterTheUploadEndsAnAnswer);
     CPPUNIT_TEST(wholeAnswerBeforeTheEndOfTheUploadIsDelivered);
     CPPUNIT_TEST(brokenAnswerOfThePlatformIsNoAnswer);
@@ -244,6 +245,10 @@
     // error of the reset, after which reads report an orderly end.
     void resetDuringTheUploadIsNoEndOfAnAnswer() { expectNoEnd(Cut::Reset); }
 
+    // Guards against the end of a process that passes for the end of its answer: it had not read
+    // the request.
+    void closeBeforeTheUploadWasReadIsNoEndOfAnAnswer() { expectNoEnd(Cut::EndOfStream); }
+
     void closeAfterTheUploadEndsAnAnswer()
     {
         for (const auto &it : testedClients()) {
