Bound the keep-alive time that an answer names

A connection whose answer named a very long or a negative time was not used again: seconds() overflowed, or the time lay in the past. Callers paid a new connection a request; no answer was wrong.

Cause: any integer of the header was taken. Times are now cut at an hour, and negative ones are ignored. Found while the places that read answers were listed. MisbehavingPeerTest::oddTimeOfAKeptConnectionDoesNotEndItsUse failed on the code before.

--- a/drivers/asio/upstream_connection.cpp
+++ b/drivers/asio/upstream_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -24,6 +25,8 @@
 // A back end closes an idle connection at its stated time; ours ends earlier, since a request that
 // crosses that close may have run or not.
 constexpr Duration kReuseMargin = milliseconds(700);
+// Longer times are as good as none.
+constexpr std::int64_t kLongestKeepAliveSeconds = 3600;
 constexpr int kFirstFinalStatus = 200;
 // Bytes before the answer, such as interim answers and late copies of earlier answers. A copy is as
 // long as an answer; more than this is a faulty upstream.
@@ -297,8 +300,8 @@
         return;
     std::int64_t n = 0;
     const char *begin = text->data() + at + kTimeout.size();
-    if (std::from_chars(begin, text->data() + text->size(), n).ec == std::errc{})
-        m_keepAlive = seconds(n) - kReuseMargin;
+    if (std::from_chars(begin, text->data() + text->size(), n).ec == std::errc{} && n >= 0)
+        m_keepAlive = seconds(std::min(n, kLongestKeepAliveSeconds)) - kReuseMargin;
 }
 
 bool UpstreamConnection::isRequestWritten() const
--- a/tests/drivers/asio/misbehaving_peer_test.cpp
+++ b/tests/drivers/asio/misbehaving_peer_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(answerThatEndsEarlyIsBroken);
     CPPUNIT_TEST(bytesBeyondTheBodyCloseTheConnection);
     CPPUNIT_TEST(connectionIdleForTooLongIsNotUsed);
+    CPPUNIT_TEST(oddTimeOfAKeptConnectionDoesNotEndItsUse);
     CPPUNIT_TEST(brokenAnswerWithoutLengthEndsWithReset);
     CPPUNIT_TEST(abortedAnswerInChunksHasNoLastChunk);
     CPPUNIT_TEST(requestThatArrivesDuringTheStopIsAnswered);
@@ -254,6 +255,23 @@
         first.expectClosed();
     }
 
+    // Guards against a time that overflows, and against connections that are never used again.
+    void oddTimeOfAKeptConnectionDoesNotEndItsUse()
+    {
+        for (const std::string time : {"9223372036854775807", "-1", "99999999999999999999", "x"}) {
+            auto handler = sendToPeer("1");
+            auto &peer = acceptPeer();
+            peer.expect("id: 1");
+            peer.send("HTTP/1.1 200 OK\r\nid: 1\r\nKeep-Alive: timeout=" + time +
+                      "\r\nContent-Length: 0\r\n\r\n");
+            runUntil(*m_loop, [&] { return handler->ended; });
+            handler = sendToPeer("2");
+            peer.expect("id: 2");
+            peer.socket.close();
+            runUntil(*m_loop, [&] { return handler->ended; });
+        }
+    }
+
     // Guards against a broken-off answer that looks complete to a caller of HTTP/1.0, whose answers
     // end with the connection.
     void brokenAnswerWithoutLengthEndsWithReset()
