Test that paused bodies in chunks are delivered once by libcurl's client

The test refuses the first five pieces and each seventh one of a body in chunks of many sizes, of one chunk, and of one that ends with its connection.

--- a/tests/drivers/http/curl_upstream_client_test.cpp
+++ b/tests/drivers/http/curl_upstream_client_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/raw_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <condition_variable>
 #include <future>
@@ -18,6 +19,7 @@
 // More than a client may keep of an answer, and than the buffers of the connection hold.
 constexpr std::size_t kEndlessBytes = 64 << 20;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
+constexpr int kRefuseEach = 7;
 
 /** Collects an answer and lets the test wait for its parts. */
 class Collector : public UpstreamHandler
@@ -32,7 +34,7 @@
     bool onData(std::string_view piece) override
     {
         const std::lock_guard lock(m_mutex);
-        if (paused) {
+        if (paused || (refuseEach > 0 && ++pieces % refuseEach == 0)) {
             ++refused;
             m_changed.notify_all();
             return false;
@@ -72,6 +74,9 @@
     int ends = 0;
     bool paused = false;
     int refused = 0;
+    /** Refuses one piece in so many; 0 refuses none. */
+    int refuseEach = 0;
+    int pieces = 0;
 
 private:
     std::mutex m_mutex;
@@ -94,6 +99,7 @@
     CPPUNIT_TEST(timeoutsAreInMilliseconds);
     CPPUNIT_TEST(cancelClosesTheConnection);
     CPPUNIT_TEST(pausedPieceIsDeliveredAgain);
+    CPPUNIT_TEST(pausedChunksAreDeliveredOnce);
     CPPUNIT_TEST(clientThatStopsEndsItsCalls);
     CPPUNIT_TEST_SUITE_END();
 
@@ -284,27 +290,25 @@
     void pausedPieceIsDeliveredAgain()
     {
         const std::string big(1 << 20, 'x');
-        RawServer server([&](RawConnection &it, int) {
-            it.readMessage();
-            it.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(big.size()) +
-                    "\r\n\r\n" + big);
-            it.waitClosed();
-        });
-        CurlUpstreamClient client;
-        const auto answer = std::make_shared<Collector>();
-        answer->paused = true;
-        auto request = requestTo(server.url());
-        request.idleTimeout = milliseconds(20);
-        const auto call = client.send(request, answer);
-        for (int i = 1; i <= 5; ++i) {
-            CPPUNIT_ASSERT(answer->waitFor([&] { return answer->refused >= i; }));
-            if (i == 5)
-                answer->setPaused(false);
-            call->resume();
+        expectPausedBody("Content-Length: " + std::to_string(big.size()) + "\r\n\r\n" + big, big,
+                         milliseconds(20));
+    }
+
+    // Guards against chunks that are read twice or not at all when libcurl passes a refused piece
+    // once more, also with the end of the body in it.
+    void pausedChunksAreDeliveredOnce()
+    {
+        std::string body;
+        std::string chunks;
+        for (std::size_t i = 0; body.size() < (1U << 20); ++i) {
+            const std::string piece = std::to_string(i) + std::string(i % 977, 'x');
+            body += piece;
+            chunks += fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
         }
-        CPPUNIT_ASSERT(answer->waitEnd());
-        CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Complete);
-        CPPUNIT_ASSERT(answer->body == big);
+        const std::string head = "Transfer-Encoding: chunked\r\n\r\n";
+        expectPausedBody(head + chunks + "0\r\nX-Trailer: 1\r\n\r\n", body);
+        expectPausedBody(head + "2\r\nok\r\n0\r\n\r\n", "ok");
+        expectPausedBody("Connection: close\r\n\r\n" + body, body);
     }
 
     // Guards against a handler that waits for ever when the node stops.
@@ -320,6 +324,41 @@
     }
 
 private:
+    /** Lets a handler refuse a piece five times, and some later ones, of @p answer. */
+    static void expectPausedBody(const std::string &answer, const std::string &body,
+                                 Duration idleTimeout = Duration(0))
+    {
+        RawServer server([&](RawConnection &it, int) {
+            it.readMessage();
+            it.send("HTTP/1.1 200 OK\r\n" + answer);
+            if (!answer.starts_with("Connection: close"))
+                it.waitClosed();
+        });
+        CurlUpstreamClient client;
+        const auto collector = std::make_shared<Collector>();
+        collector->paused = true;
+        collector->refuseEach = kRefuseEach;
+        auto request = requestTo(server.url());
+        request.idleTimeout = idleTimeout;
+        const auto call = client.send(request, collector);
+        for (int i = 1; i <= 5; ++i) {
+            CPPUNIT_ASSERT(collector->waitFor([&] { return collector->refused >= i; }));
+            if (i == 5)
+                collector->setPaused(false);
+            call->resume();
+        }
+        bool hasEnded = false;
+        for (int i = 6; !hasEnded; ++i) {
+            CPPUNIT_ASSERT(collector->waitFor([&] {
+                hasEnded = collector->ends > 0;
+                return hasEnded || collector->refused >= i;
+            }));
+            call->resume();
+        }
+        CPPUNIT_ASSERT(collector->end.result == UpstreamResult::Complete);
+        CPPUNIT_ASSERT(collector->body == body);
+    }
+
     static UpstreamRequest requestTo(const std::string &url)
     {
         UpstreamRequest request;
