Fail a call of libcurl's client as soon as its answer breaks off

While an upload was going on, an answer with a length or in chunks that broke off was not told: a peer that had ended its bytes and read no more was waited for until the time limit.

Cause: libcurl notes the end of the bytes, goes on with the upload and checks the length at the end of both. It then asks for writes alone on the socket; as the parser ends a call whose answer is whole, this shows that the answer broke off. The call now ends as broken.

The tests on callers' sockets cut all three kinds of body as well and check the time.

--- a/drivers/http/curl_transfer.h
+++ b/drivers/http/curl_transfer.h
@@ -49,6 +49,9 @@
     /** @return the result for libcurl's code @p code. */
     UpstreamResult resultOf(int code) const;
 
+    /** @return true from the head of the answer to its end, unless the handler paused it. */
+    bool isReading() const { return m_headersDone && !m_paused; }
+
     /** Notes the state of the connection before libcurl closes @p socket or keeps it for reuse. */
     void onSocketReleased(int socket);
 
--- a/drivers/http/curl_upstream_client.cpp
+++ b/drivers/http/curl_upstream_client.cpp
@@ -226,12 +226,20 @@
 int CurlUpstreamClient::onSocket(void *easy, int socket, int what, void *self, void *known)
 {
     auto &client = *static_cast<CurlUpstreamClient *>(self);
+    const auto it = client.m_transfers.find(easy);
+    const auto transfer = it == client.m_transfers.end() ? nullptr : it->second;
     if (what == CURL_POLL_REMOVE) {
-        if (const auto it = client.m_transfers.find(easy); it != client.m_transfers.end())
-            it->second->onSocketReleased(socket);
+        if (transfer)
+            transfer->onSocketReleased(socket);
         epoll_ctl(client.m_epoll, EPOLL_CTL_DEL, socket, nullptr);
         return 0;
     }
+    // libcurl would write the rest of the request before it tells that the answer broke off.
+    if (what == CURL_POLL_OUT && transfer && transfer->isReading())
+        client.post([&client, transfer] {
+            client.finish(transfer, {UpstreamResult::Broken, transfer->httpStatus(),
+                                     "connection closed early"});
+        });
     epoll_event event{};
     event.events = (what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
     event.events |= (what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
--- a/tests/drivers/broken_answer_test.cpp
+++ b/tests/drivers/broken_answer_test.cpp
@@ -343,10 +343,12 @@
         CaseReport report;
         for (const auto &it : testedClients()) {
             for (const std::size_t size : {kBufferedBytes, kUploadBytes}) {
-                const auto answer = makeAnswer("HTTP/1.1 200 OK", "", BodyEnd::Close, kBrokenBody);
-                const auto collector = uploadAndCut(*it, answer.bytes, cut, report, size);
-                report.expect(collector->end.result == UpstreamResult::Broken,
-                              fmt::format("{}: {} bytes", it->name(), size));
+                for (const auto end : {BodyEnd::Length, BodyEnd::Chunks, BodyEnd::Close}) {
+                    const auto collector = uploadAndCut(*it, makePart("", end), cut, report, size);
+                    report.expect(collector->end.result == UpstreamResult::Broken,
+                                  fmt::format("{}: {} bytes, end {}", it->name(), size,
+                                              static_cast<int>(end)));
+                }
             }
         }
         report.check();
--- a/tests/support/broken_answers.h
+++ b/tests/support/broken_answers.h
@@ -134,15 +134,27 @@
 inline std::vector<RawAnswer> brokenTrailers(const std::string &fields)
 {
     std::vector<RawAnswer> answers;
-    for (const auto &it : brokenFields())
+    for (const auto &it : brokenFields()) {
+        // A line that begins with a blank would continue the line before.
+        const std::string first = it.starts_with(' ') ? "" : "X-First: 1\r\n";
         answers.push_back({"HTTP/1.1 200 OK\r\n" + fields +
-                           "Transfer-Encoding: chunked\r\n\r\n6\r\n" + kBrokenBody +
-                           "\r\n0\r\nX-First: 1\r\n" + it + "\r\n\r\n"});
-    // A line that begins with a blank continues the line before, so it is broken as the first.
-    answers[10].bytes.erase(answers[10].bytes.find("X-First: 1\r\n"), 12);
+                           "Transfer-Encoding: chunked\r\n\r\n6\r\n" + kBrokenBody + "\r\n0\r\n" +
+                           first + it + "\r\n\r\n"});
+    }
     return answers;
 }
 
+/** @return an answer that ends after a part of its body. */
+inline std::string makePart(const std::string &fields, BodyEnd end)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
+    if (end == BodyEnd::Length)
+        return head + "Content-Length: 60\r\n\r\n" + kBrokenBody;
+    if (end == BodyEnd::Chunks)
+        return head + "Transfer-Encoding: chunked\r\n\r\n6\r\n" + kBrokenBody + "\r\n";
+    return head + "\r\n" + kBrokenBody;
+}
+
 /** @return unusual answers with @c kSoundBody that are sound. */
 inline std::vector<RawAnswer> soundAnswers(const std::string &fields)
 {
--- a/tests/support/caller_front.h
+++ b/tests/support/caller_front.h
@@ -107,39 +107,48 @@
     report.check();
 }
 
+/** Resets an upload after a part of an answer whose end is told by @p end. */
+template <typename AnyFront>
+void expectNoPart(BodyEnd end, bool hasRetries)
+{
+    std::atomic<int> requests{0};
+    std::promise<void> begun;
+    std::promise<void> heldUp;
+    std::promise<void> ended;
+    const auto isHeldUp = heldUp.get_future().share();
+    const auto isEnded = ended.get_future().share();
+    const auto answer = [&](RawConnection &it, int) {
+        if (requests++ > 0) {
+            answerSound(it);
+            return;
+        }
+        const auto head = it.readUntil("\r\n\r\n");
+        begun.set_value();
+        isHeldUp.wait_for(kPatience);
+        it.send(makePart(provingFields(head), end));
+        it.reset();
+        ended.set_value();
+    };
+    RawServer first(answer);
+    RawServer second(answer);
+    AnyFront front(urlsOf(first, second, hasRetries));
+    auto call = std::async(std::launch::async,
+                           [&] { return front.call(std::string(kUploadBytes, 'u')); });
+    CPPUNIT_ASSERT(begun.get_future().wait_for(kPatience) == std::future_status::ready);
+    front.holdUp(isEnded);
+    const auto start = std::chrono::steady_clock::now();
+    heldUp.set_value();
+    const auto got = call.get();
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < kAtOnce);
+    CPPUNIT_ASSERT_MESSAGE(visible(got), isSoundOrFailed(got, hasRetries));
+}
+
 template <typename AnyFront>
 void expectNoPart()
 {
-    for (const bool hasRetries : {true, false}) {
-        std::atomic<int> requests{0};
-        std::promise<void> begun;
-        std::promise<void> heldUp;
-        std::promise<void> ended;
-        const auto isHeldUp = heldUp.get_future().share();
-        const auto isEnded = ended.get_future().share();
-        const auto answer = [&](RawConnection &it, int) {
-            if (requests++ > 0) {
-                answerSound(it);
-                return;
-            }
-            const auto head = it.readUntil("\r\n\r\n");
-            begun.set_value();
-            isHeldUp.wait_for(kPatience);
-            it.send(makeAnswer("HTTP/1.1 200 OK", provingFields(head), BodyEnd::Close, kBrokenBody)
-                            .bytes);
-            it.reset();
-            ended.set_value();
-        };
-        RawServer first(answer);
-        RawServer second(answer);
-        AnyFront front(urlsOf(first, second, hasRetries));
-        auto call = std::async(std::launch::async,
-                               [&] { return front.call(std::string(kUploadBytes, 'u')); });
-        CPPUNIT_ASSERT(begun.get_future().wait_for(kPatience) == std::future_status::ready);
-        front.holdUp(isEnded);
-        heldUp.set_value();
-        const auto got = call.get();
-        CPPUNIT_ASSERT_MESSAGE(visible(got), isSoundOrFailed(got, hasRetries));
+    for (const auto end : {BodyEnd::Length, BodyEnd::Chunks, BodyEnd::Close}) {
+        for (const bool hasRetries : {true, false})
+            expectNoPart<AnyFront>(end, hasRetries);
     }
 }
 
