--- a/tests/drivers/http/curl_upstream_client_test.cpp
+++ b/tests/drivers/http/curl_upstream_client_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(resetAfterFirstByteIsBroken);
     CPPUNIT_TEST(answerThatEndsEarlyIsBroken);
     CPPUNIT_TEST(endlessHeadEndsTheCall);
+    CPPUNIT_TEST(endlessTrailersEndTheCall);
     CPPUNIT_TEST(requestMarkedOnceIsNotRepeated);
     CPPUNIT_TEST(timeoutsAreInMilliseconds);
     CPPUNIT_TEST(cancelClosesTheConnection);
@@ -194,25 +195,17 @@
     // end.
     void endlessHeadEndsTheCall()
     {
-        for (const std::string line : {"X-Header: value\r\n", "X-Long: aaaaaaaaaaaaaaaaaaaaaaa"}) {
-            std::string block;
-            while (block.size() < (1U << 16))
-                block += line;
-            std::atomic<std::size_t> sent{0};
-            RawServer server([&](RawConnection &it, int) {
-                it.readMessage();
-                it.send("HTTP/1.1 200 OK\r\n");
-                while (sent < kEndlessBytes && it.send(block))
-                    sent += block.size();
-            });
-            CurlUpstreamClient client;
-            const auto answer = std::make_shared<Collector>();
-            client.send(requestTo(server.url()), answer);
-            CPPUNIT_ASSERT(answer->waitEnd());
-            CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Broken);
-            CPPUNIT_ASSERT_EQUAL(0, answer->status);
-            CPPUNIT_ASSERT(sent < kEndlessBytes);
-        }
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        expectEndOfEndless(head, "X-Header: value\r\n", 0);
+        expectEndOfEndless(head, "X-Long: aaaaaaaaaaaaaaaaaaaaaaa", 0);
+        expectEndOfEndless("", "HTTP/1.1 100 Continue\r\n\r\n", 0);
+    }
+
+    void endlessTrailersEndTheCall()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        expectEndOfEndless(head + "0\r\n", "X-Trailer: value\r\n", 200);
+        expectEndOfEndless(head + "1;extension=", "e", 200);
     }
 
     // Guards I5: libcurl repeats a request when a kept-alive connection ends without an answer.
@@ -324,6 +317,29 @@
     }
 
 private:
+    /** Answers with @p start and then with @p repeated until the client closes. */
+    static void expectEndOfEndless(const std::string &start, const std::string &repeated,
+                                   int status)
+    {
+        std::string block;
+        while (block.size() < (1U << 16))
+            block += repeated;
+        std::atomic<std::size_t> sent{0};
+        RawServer server([&](RawConnection &it, int) {
+            it.readMessage();
+            it.send(start);
+            while (sent < kEndlessBytes && it.send(block))
+                sent += block.size();
+        });
+        CurlUpstreamClient client;
+        const auto answer = std::make_shared<Collector>();
+        client.send(requestTo(server.url()), answer);
+        CPPUNIT_ASSERT(answer->waitEnd());
+        CPPUNIT_ASSERT(answer->end.result == UpstreamResult::Broken);
+        CPPUNIT_ASSERT_EQUAL(status, answer->status);
+        CPPUNIT_ASSERT(sent < kEndlessBytes);
+    }
+
     /** Lets a handler refuse a piece five times, and some later ones, of @p answer. */
     static void expectPausedBody(const std::string &answer, const std::string &body,
                                  Duration idleTimeout = Duration(0))
