Complete no answer whose last part a slow reader has refused

A whole answer before the end of its upload, whose last part the handler had refused because its caller reads slowly, ended as complete without that part when the connection was reset.

Cause: the result was taken from the parser, which has read refused bytes ahead of the handler. An answer is now complete only when nothing of it was refused; otherwise the call ends as broken.

--- a/drivers/http/curl_transfer.cpp
+++ b/drivers/http/curl_transfer.cpp
@@ -158,14 +158,14 @@
 
 UpstreamResult CurlTransfer::resultOf(int code) const
 {
-    if (m_headersDone && m_parser->is_done())
+    const bool isTaken = m_headersDone && m_readAhead == 0;
+    if (isTaken && m_parser->is_done())
         return UpstreamResult::Complete;
     if (code != CURLE_OK)
         return nothingSent() ? UpstreamResult::ConnectFailed : UpstreamResult::Broken;
     // libcurl takes any end of the connection for the end of a head, or of a body without a length.
     // A peer that has not read the request did not end its answer but its process.
-    const bool isEnded =
-            m_headersDone && m_parser->need_eof() && isRequestWritten() && m_isAcknowledged;
+    const bool isEnded = isTaken && m_parser->need_eof() && isRequestWritten() && m_isAcknowledged;
     return isEnded ? UpstreamResult::Complete : UpstreamResult::Broken;
 }
 
--- a/tests/drivers/broken_answer_test.cpp
+++ b/tests/drivers/broken_answer_test.cpp
@@ -42,8 +42,9 @@
     }
     bool onData(std::string_view piece) override
     {
-        body += piece;
-        return true;
+        if (!refusesBody)
+            body += piece;
+        return !refusesBody;
     }
     void onEnd(const UpstreamEnd &it) override
     {
@@ -63,6 +64,7 @@
     std::string body;
     UpstreamEnd end;
     std::function<void()> whenHead;
+    bool refusesBody = false;
 
 private:
     std::promise<Steady::time_point> m_ended;
@@ -190,6 +192,7 @@
     CPPUNIT_TEST(closeBeforeTheUploadWasReadIsNoEndOfAnAnswer);
     CPPUNIT_TEST(closeAfterTheUploadEndsAnAnswer);
     CPPUNIT_TEST(wholeAnswerBeforeTheEndOfTheUploadIsDelivered);
+    CPPUNIT_TEST(wholeAnswerThatWasNotTakenIsNotComplete);
     CPPUNIT_TEST(brokenAnswerOfThePlatformIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -289,6 +292,19 @@
         report.check();
     }
 
+    // Guards against an answer that ends as complete without the part that a slow reader refused.
+    void wholeAnswerThatWasNotTakenIsNotComplete()
+    {
+        for (const auto &it : testedClients()) {
+            CaseReport ignored;
+            const auto answer = makeAnswer("HTTP/1.1 200 OK", "", BodyEnd::Length, kSoundBody);
+            const auto collector = std::make_shared<Collector>();
+            collector->refusesBody = true;
+            uploadAndCut(*it, answer.bytes, Cut::Reset, ignored, kUploadBytes, collector);
+            CPPUNIT_ASSERT_MESSAGE(it->name(), collector->end.result != UpstreamResult::Complete);
+        }
+    }
+
     // Guards against a write that counts as refused, and against a list without nodes, because of
     // bytes that are no answer of the store or of the list.
     void brokenAnswerOfThePlatformIsNoAnswer()
@@ -387,9 +403,10 @@
      * Uploads to a peer that sends @p answer and ends the connection without reading the body. The
      * client's thread sees all of it at once, while its socket takes no more of the upload.
      */
-    static std::shared_ptr<Collector> uploadAndCut(TestedClient &client, const std::string &answer,
-                                                   Cut cut, CaseReport &report,
-                                                   std::size_t uploadBytes = kUploadBytes)
+    static std::shared_ptr<Collector>
+    uploadAndCut(TestedClient &client, const std::string &answer, Cut cut, CaseReport &report,
+                 std::size_t uploadBytes = kUploadBytes,
+                 std::shared_ptr<Collector> collector = std::make_shared<Collector>())
     {
         std::promise<void> begun;
         std::promise<void> heldUp;
@@ -412,7 +429,6 @@
             ended.set_value();
             isDone.wait_for(kPatience);
         });
-        const auto collector = std::make_shared<Collector>();
         send(client, requestTo(server, uploadBytes), collector);
         CPPUNIT_ASSERT(begun.get_future().wait_for(kPatience) == std::future_status::ready);
         client.holdUp(isEnded);
