--- a/modules/queueing/tests/admission_test.cpp
+++ b/modules/queueing/tests/admission_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(refusesWhenTheObjectiveCannotBeMet);
     CPPUNIT_TEST(doesNotHoldForMoreThanHalfOfTheObjective);
     CPPUNIT_TEST(urgentRequestGoesBeforeLessUrgentOnes);
+    CPPUNIT_TEST(urgentRequestThatCameBackIsNotRefusedWhileLessUrgentOnesBegin);
     CPPUNIT_TEST(largeSharedPromptWaitsForPreferredUpstream);
     CPPUNIT_TEST(waitsLongerForPreferredUpstreamWhileSlotsAreScarce);
     CPPUNIT_TEST(lateRequestTakesAFreeSlotElsewhere);
@@ -92,6 +93,17 @@
                        decideAdmission(makeDemand(), makePlacement(seconds(2)), kFresh, true));
     }
 
+    // Guards against a caller that is refused at each try, since the first one took its objective.
+    void urgentRequestThatCameBackIsNotRefusedWhileLessUrgentOnesBegin()
+    {
+        const CallerWait late{seconds(1), seconds(2), Duration(0)};
+        auto full = makePlacement(seconds(2));
+        full.isFull = true;
+        CPPUNIT_ASSERT(AdmissionDecision::Send == decideAdmission(makeDemand(), full, late, true));
+        CPPUNIT_ASSERT(AdmissionDecision::Refuse ==
+                       decideAdmission(makeDemand(), full, late, false));
+    }
+
     // Guards against repeating the prefill of a shared prompt at an engine that happens to be
     // idle.
     void largeSharedPromptWaitsForPreferredUpstream()
