Let urgent requests go before less urgent ones of other nodes

With 66 nodes a node sends one or two long prompts a second; in a burst of urgent requests, and after a restart, it often sends none.

Cause: whether less urgent requests are sent was known per node only.

Change: the balancer records when a request of each urgency was last sent, by this node and, from the prompt tokens in their load reports, by its peers.

Evidence: ServiceBalancerTest::urgentRequestGoesBeforeLessUrgentOnesOfOtherNodes (the balancer had no such knowledge before, so it does not compile there).

--- a/modules/balancing/service_balancer.cpp
+++ b/modules/balancing/service_balancer.cpp
@@ -14,6 +14,8 @@
 // Short, because a full upstream has a free slot again as soon as one request ends.
 constexpr Duration kAvoidAfterFull = milliseconds(150);
 constexpr Duration kAvoidAfterUnreachable = seconds(1);
+// A node sends a few requests of each urgency per second.
+constexpr Duration kRecentlySent = seconds(2);
 
 } // namespace
 
@@ -84,6 +86,7 @@
     state.sentTokens[placement.urgency] += static_cast<std::uint64_t>(placement.prefillTokens);
     m_totalSentTokens += static_cast<std::uint64_t>(placement.prefillTokens);
     state.prefill.add(placement.urgency, placement.prefillTokens, now);
+    m_lastSentAt[placement.urgency] = now;
     if (state.permits)
         state.permits->onSent(m_share.value(now), now);
 }
@@ -181,8 +184,19 @@
     return loads;
 }
 
+bool ServiceBalancer::hasSentLessUrgent(std::size_t urgency, TimePoint now) const
+{
+    return std::any_of(m_lastSentAt.begin() + static_cast<std::ptrdiff_t>(urgency) + 1,
+                       m_lastSentAt.end(),
+                       [now](TimePoint at) { return now - at < kRecentlySent; });
+}
+
 void ServiceBalancer::onPeerLoad(const LoadChange &change, TimePoint now)
 {
+    for (std::size_t urgency = 0; urgency < kUrgencyLevels; ++urgency) {
+        if (change.promptTokens[urgency] > 0)
+            m_lastSentAt[urgency] = now;
+    }
     PeerRequests &sum = m_peers[change.upstreamHash];
     sum.running += change.running;
     sum.sensitive += change.sensitive;
--- a/modules/balancing/service_balancer.h
+++ b/modules/balancing/service_balancer.h
@@ -67,6 +67,11 @@
     NodeDemand totalDemand() const;
     /** @return prompt tokens that this node and its peers sent to upstreams for prefill. */
     std::uint64_t totalSentTokens() const { return m_totalSentTokens; }
+    /**
+     * @return true when this node or a peer has recently sent requests that are less urgent than
+     *         @p urgency.
+     */
+    bool hasSentLessUrgent(std::size_t urgency, TimePoint now) const;
     /** @return requests of this node and of its peers that run at usable upstreams. */
     std::uint32_t totalRunning() const;
 
@@ -188,6 +193,8 @@
     NodeDemand m_demand;
     NodeDemand m_peerDemand;
     std::uint64_t m_totalSentTokens = 0;
+    /** When a request of each urgency was last sent, by any node. */
+    TokensByUrgency<TimePoint> m_lastSentAt{};
     /**
      * Usable upstreams in an order that all nodes have: by hash, those that limit their requests
      * first.
--- a/modules/balancing/tests/service_balancer_test.cpp
+++ b/modules/balancing/tests/service_balancer_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(nodesAgreeOnThePreferredUpstreamOfAPrefix);
     CPPUNIT_TEST(peerLoadReportedBeforeTheUpstreamIsKnownCounts);
     CPPUNIT_TEST(peerLoadReportedBeforeTheUpstreamIsKnownEnds);
+    CPPUNIT_TEST(urgentRequestGoesBeforeLessUrgentOnesOfOtherNodes);
     CPPUNIT_TEST(unreachableUpstreamIsAvoidedAtOnce);
     CPPUNIT_TEST(consecutiveFailuresMakeAnUpstreamAvoided);
     CPPUNIT_TEST(excludedUpstreamsAreNotChosen);
@@ -99,6 +100,19 @@
         CPPUNIT_ASSERT(balancer.place(makeDemand(), {}, kStart)->isFull);
     }
 
+    // Guards against refusing urgent requests at a node that sends no other ones itself.
+    void urgentRequestGoesBeforeLessUrgentOnesOfOtherNodes()
+    {
+        ServiceBalancer balancer;
+        balancer.setUpstreams({makeEntry("a")});
+        LoadChange change{rendezvousMemberHash("a"), 1, 0, {}};
+        change.promptTokens[2] = 6000;
+        balancer.onPeerLoad(change, kStart);
+        CPPUNIT_ASSERT(balancer.hasSentLessUrgent(1, kStart + seconds(1)));
+        CPPUNIT_ASSERT(!balancer.hasSentLessUrgent(2, kStart + seconds(1)));
+        CPPUNIT_ASSERT(!balancer.hasSentLessUrgent(1, kStart + seconds(3)));
+    }
+
     void unreachableUpstreamIsAvoidedAtOnce()
     {
         ServiceBalancer balancer;
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -191,7 +191,6 @@
     m_service->balancer.onSent(placement, m_sentAt);
     m_service->shares.onGiven(m_shared, m_sentAt);
     m_gateway.promptGuard().onSent(m_traits);
-    m_service->lastSentAt[m_demand.urgency] = m_sentAt;
     m_gateway.notifyLoadChanged();
     // Set before the call starts: from then on the driver may send bytes at any moment.
     m_executionTracker.setState(AttemptState::Sent);
--- a/servers/gateway/exchange_admission.cpp
+++ b/servers/gateway/exchange_admission.cpp
@@ -50,7 +50,7 @@
     recordAsked(now);
     const CallerWait wait{m_route->objective, m_spentBefore, now - m_arrivedAt};
     const AdmissionDecision admission = decideAdmission(
-            m_demand, *placement, wait, m_service->hasSentLessUrgent(m_demand.urgency, now));
+            m_demand, *placement, wait, m_service->balancer.hasSentLessUrgent(m_demand.urgency, now));
     if (m_shared.workspace != 0 && !hasRoom(m_demand, *placement, wait))
         m_service->shares.workspaces().onNoRoom(now);
     if (admission == AdmissionDecision::Send)
--- a/servers/gateway/service_context.h
+++ b/servers/gateway/service_context.h
@@ -8,8 +8,6 @@
 #include "modules/retry/sliding_window_retry_budget.h"
 #include "modules/upstreams/upstream_directory.h"
 
-#include <algorithm>
-#include <array>
 #include <string>
 
 namespace hawthornslip {
@@ -36,19 +34,6 @@
     SlidingWindowRetryBudget retryBudget;
     ServiceShares shares;
     HoldQueue holdQueue;
-    /** Time at which a request of each urgency level was last sent. */
-    std::array<TimePoint, kUrgencyLevels> lastSentAt{};
-
-    /** @return true when requests less urgent than @p level were sent recently. */
-    bool hasSentLessUrgent(std::size_t level, TimePoint now) const
-    {
-        // A node sends a few requests of each level per second.
-        static constexpr Duration kRecentWindow = seconds(2);
-        return std::any_of(lastSentAt.begin() + static_cast<std::ptrdiff_t>(level) + 1,
-                           lastSentAt.end(),
-                           [now](TimePoint at) { return now - at < kRecentWindow; });
-    }
-
     /** True while a run over the hold queue is scheduled. */
     bool holdQueueRunScheduled = false;
     /** Revision of the upstream directory that the balancer was last updated from. */
