Ask the store itself before keys fail for the age of the configuration

A node that was well and reached the store refused keyed requests (503) and turned unready for about 0.1 s.

Cause: an answer of the store with a change confirms the configuration as of the start of its watch, up to 3 s ago. If the next call went to another node that had just frozen, 1.15 s passed before the store was asked, and keys are trusted for 3.8 s only.

Change: from two fifths of the revocation time on, a follower asks the store.

--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -53,6 +53,7 @@
     // Each answer confirms that no key was revoked; keys are accepted for longer than one watch.
     times.watch = settings.revokeWithin * 3 / 5;
     times.isAgeBounded = true;
+    times.relayWithin = settings.revokeWithin * 2 / 5;
     times.overdueAfter = milliseconds(500);
     return times;
 }
--- a/servers/state/feed_follower.h
+++ b/servers/state/feed_follower.h
@@ -39,6 +39,8 @@
      * answer with changes only confirms the state at the start of its watch.
      */
     bool isAgeBounded = false;
+    /** Age of the state from which on the store itself is asked, not another node. */
+    Duration relayWithin = Duration::max();
 };
 
 /** Receives the state that a follower reads. */
@@ -297,7 +299,9 @@
     void watch()
     {
         const TimePoint start = m_loop.now();
-        const auto relayWatch = m_feed.chooseRelay();
+        // A silent node would leave no time to ask the store before the state is too old.
+        const bool mayRelay = m_isStoreBehind || start - m_confirmedAt < m_times.relayWithin;
+        const auto relayWatch = mayRelay ? m_feed.chooseRelay() : std::nullopt;
         // The store would not tell that it was restored if the revision has been given out again.
         const bool isOldEra = m_seenEra != 0 && m_position.era != 0 && m_seenEra != m_position.era;
         if (!relayWatch && (std::exchange(m_isStoreBehind, false) || isOldEra)) {
