Let a stream go on only at the software version that began it

Cause: the version in an upstream's entry was not read, so a retry in one answer and a take-up went to any upstream of the service, and `Resumes` was unknown. The belief behind it: what serves a service can continue its streams.

Change: the version of a stream is that of the attempt that brought its first event. A node keeps it for each resumable stream that it relays, by a key of the attempt's id, workspace, host, path and last prompt segment, so that a wrong name finds nothing. While a service has several versions each node writes its unfinished streams into an object of its own in the store, four times per second at most, and again when it starts; with one version, every 20 s. A take-up that the node does not know waits for one read of all journals, which all waiting take-ups share. All else is refused at once with 503 (version_unknown, version_gone): it has not run. Upstreams that name no version are one version only where none names one.

--- a/core/interfaces/wire_dialect.h
+++ b/core/interfaces/wire_dialect.h
@@ -33,6 +33,8 @@
     std::vector<PromptSegment> prompt;
     /** Resumes the stream after this event. */
     std::optional<std::uint64_t> lastEventId;
+    /** Request ID of the attempt that brought the resumed stream's first event; may be empty. */
+    std::string resumes;
 };
 
 /** Metadata that the router adds to a request for an upstream. */
--- a/core/reasons.h
+++ b/core/reasons.h
@@ -36,6 +36,8 @@
     DeadlineUnreachable,
     DeadlineExceeded,
     NoUpstream,
+    VersionUnknown,
+    VersionGone,
     OwnerUnreachable,
     StoreUnavailable,
     ClaimsFull,
@@ -63,7 +65,7 @@
     int httpStatus;
 };
 
-inline constexpr std::array<ReasonInfo, 34> kReasons = {{
+inline constexpr std::array<ReasonInfo, 36> kReasons = {{
         {Reason::None, "none", 200},
         {Reason::Unauthenticated, "unauthenticated", 401},
         {Reason::UnknownRoute, "unknown_route", 404},
@@ -81,6 +83,8 @@
         {Reason::DeadlineUnreachable, "deadline_unreachable", 503},
         {Reason::DeadlineExceeded, "deadline_exceeded", 504},
         {Reason::NoUpstream, "no_upstream", 503},
+        {Reason::VersionUnknown, "version_unknown", 503},
+        {Reason::VersionGone, "version_gone", 503},
         {Reason::OwnerUnreachable, "owner_unreachable", 503},
         {Reason::StoreUnavailable, "store_unavailable", 503},
         {Reason::ClaimsFull, "claims_full", 503},
--- a/main/gateway_process.cpp
+++ b/main/gateway_process.cpp
@@ -134,6 +134,7 @@
                 randomSeed())
     , m_transport(m_loop)
     , m_registry(m_storeClient, settings.storeAddress, settings.domain)
+    , m_versionStore(m_storeClient, settings.storeAddress, peerAddress(settings))
     , m_exchange(
               LoadExchangeParts{m_loop, m_transport, m_registry, m_metrics, m_gateway.promptGuard(),
                                 m_gateway.upstreamLimits()},
@@ -170,6 +171,7 @@
         !m_relayServer.start(m_settings.peers))
         return false;
     startFollowers();
+    m_gateway.versions().setStore(m_versionStore);
     startDuties();
     waitForSignal();
     m_loop.after(kTickInterval, [this] { tick(); });
@@ -270,6 +272,7 @@
         m_upstreamFollower->enterEra(era);
     if (by != StateKind::Nodes)
         m_nodeFollower->enterEra(era);
+    m_gateway.versions().rewrite();
     if (m_duties)
         m_duties->enterEra(era);
 }
--- a/main/gateway_process.h
+++ b/main/gateway_process.h
@@ -14,6 +14,7 @@
 #include "main/status_sink.h"
 #include "modules/peers/state_readers.h"
 #include "platform/node_registry.h"
+#include "platform/object_version_store.h"
 #include "platform/wire_headers.h"
 #include "servers/gateway/gateway.h"
 #include "servers/peers/load_exchange.h"
@@ -74,6 +75,7 @@
     Gateway m_gateway;
     UdpPeerTransport m_transport;
     platform::ObjectNodeRegistry m_registry;
+    platform::ObjectVersionStore m_versionStore;
     LoadExchange m_exchange;
     StateReaders m_readers;
     StateRelay m_relay;
--- a/modules/balancing/balancing_types.h
+++ b/modules/balancing/balancing_types.h
@@ -25,6 +25,8 @@
     /** 0 is the most urgent; below kUrgencyLevels. */
     std::size_t urgency = 0;
     PauseTolerance tolerance = PauseTolerance::Sensitive;
+    /** Only upstreams with this version of their software may serve it, if it is set. */
+    std::optional<std::string> softwareVersion{};
 };
 
 /** The upstream chosen for a request, with the estimates behind the choice. */
--- a/modules/balancing/service_balancer_choice.cpp
+++ b/modules/balancing/service_balancer_choice.cpp
@@ -90,14 +90,18 @@
     const auto &excluded = query.excluded;
     if (std::find(excluded.begin(), excluded.end(), state.entry.id) != excluded.end())
         return;
+    const auto &version = query.demand.softwareVersion;
+    if (version && state.entry.softwareVersion != *version)
+        return;
     Candidate candidate;
     candidate.state = &state;
     candidate.isAvoided = query.now < state.avoidUntil;
     candidate.isOutsidePartition =
             state.position < query.range.first || state.position >= query.range.last;
     // A tolerant request waits rather than run among sensitive ones.
-    const bool isExcludedByPartition =
-            candidate.isOutsidePartition && query.demand.tolerance == PauseTolerance::Tolerant;
+    // Of one version there may be no engine inside.
+    const bool isExcludedByPartition = candidate.isOutsidePartition && !version &&
+                                       query.demand.tolerance == PauseTolerance::Tolerant;
     if (state.permits)
         candidate.permitWait = state.permits->wait(query.share, query.now);
     candidate.isFull = isExcludedByPartition || isFullFor(state, query.demand) ||
--- a/modules/upstreams/upstream_directory.cpp
+++ b/modules/upstreams/upstream_directory.cpp
@@ -249,6 +249,14 @@
     return present.empty() ? fallback : present;
 }
 
+std::vector<UpstreamEntry> UpstreamDirectory::entries() const
+{
+    std::vector<UpstreamEntry> entries;
+    for (const auto &[id, record] : m_entries)
+        entries.push_back(record.entry);
+    return entries;
+}
+
 std::vector<UpstreamEntry> UpstreamDirectory::listed(std::string_view service) const
 {
     std::vector<UpstreamEntry> entries;
--- a/modules/upstreams/upstream_directory.h
+++ b/modules/upstreams/upstream_directory.h
@@ -32,6 +32,8 @@
     bool reclaimable = false;
     /** Time from the write of the entry until it ends; nothing when it does not say. */
     std::optional<Duration> leavesIn{};
+    /** Version of its software, not of its weights; empty when it names none. */
+    std::string softwareVersion{};
 
     bool operator==(const UpstreamEntry &) const = default;
 };
@@ -137,6 +139,9 @@
      */
     std::vector<UpstreamEntry> listed(std::string_view service) const;
 
+    /** @return all entries, also of upstreams that are removed and may still get requests. */
+    std::vector<UpstreamEntry> entries() const;
+
     /** @return a number that changes whenever the directory changes. */
     std::uint64_t revision() const { return m_revision; }
 
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -114,6 +114,19 @@
                                            [self = shared_from_this()] { self->onTimeout(); });
     if (m_meta.timeLeft)
         m_spentBefore = m_gateway.spentBefore(m_route->name, *m_meta.timeLeft);
+    if (!isTakeUp()) {
+        begin();
+        return;
+    }
+    m_gateway.versions().resolve(ownStreamKey(), m_service->name,
+                                 [self = shared_from_this()](const auto &origin) {
+                                     if (!self->m_done)
+                                         self->onOriginKnown(origin);
+                                 });
+}
+
+void Exchange::begin()
+{
     m_service->retryBudget.onRequest(m_arrivedAt);
     prepareDemand();
     m_service->balancer.onRequest(m_demand, m_arrivedAt);
@@ -149,6 +162,52 @@
     return m_workspace == nullptr ? Reason::Unauthenticated : Reason::None;
 }
 
+bool Exchange::isTakeUp() const
+{
+    return m_route->kind == RouteKind::Streaming && m_route->resumable &&
+           m_meta.lastEventId.has_value();
+}
+
+StreamKey Exchange::ownStreamKey() const
+{
+    const auto *host = m_request.header("host");
+    const std::string &id =
+            isTakeUp() && !m_meta.resumes.empty() ? m_meta.resumes : m_meta.requestId;
+    return streamKey({id, m_workspace == nullptr ? "" : m_workspace->name,
+                      host == nullptr ? "" : *host, m_request.path,
+                      m_meta.prompt.empty() ? "" : m_meta.prompt.back().id});
+}
+
+void Exchange::onOriginKnown(const std::optional<StreamOrigin> &origin)
+{
+    const auto isOrigin = [&origin](const auto &it) { return it.service == origin->service; };
+    if (!origin || !std::ranges::any_of(m_route->targets, isOrigin) ||
+        !m_gateway.versions().mayGoOnElsewhere(*origin)) {
+        fail(Reason::VersionUnknown);
+        return;
+    }
+    m_origin = origin;
+    m_demand.softwareVersion = origin->version;
+    m_service = &m_gateway.serviceContext(origin->service);
+    begin();
+}
+
+void Exchange::recordFirstEvent()
+{
+    if (!m_relay.isStream() || !m_route->resumable)
+        return;
+    const UpstreamEntry &upstream = m_placement.upstream;
+    if (!m_origin)
+        m_origin = {upstream.service, upstream.softwareVersion};
+    m_demand.softwareVersion = m_origin->version;
+    m_gateway.versions().onFirstEvent(ownStreamKey(), upstream);
+}
+
+bool Exchange::mayGoOnElsewhere() const
+{
+    return !m_origin || m_gateway.versions().mayGoOnElsewhere(*m_origin);
+}
+
 void Exchange::prepareDemand()
 {
     // The workspace's priority takes precedence over the route's.
@@ -236,6 +295,7 @@
         m_begunAt = m_gateway.parts().loop.now();
         m_service->balancer.onFirstEvent(m_placement, m_begunAt - m_sentAt, m_begunAt);
         countUsage();
+        recordFirstEvent();
     }
     m_gateway.promptGuard().onBytes(m_placement.upstream, m_sentAt);
     if (m_relay.attemptEvents() > 1 && hasPassedBeginning())
@@ -376,7 +436,7 @@
         return false;
     if (m_sentAttempts >= m_route->maxAttempts || m_connectFailures > kMaxConnectFailures)
         return false;
-    if (isQuarantined())
+    if (isQuarantined() || !mayGoOnElsewhere())
         return false;
     const TimePoint now = m_gateway.parts().loop.now();
     // Updates the balancer's upstreams from the directory.
@@ -434,6 +494,8 @@
 void Exchange::relayAnswer()
 {
     m_relay.complete();
+    if (m_origin)
+        m_gateway.versions().onComplete(ownStreamKey());
     finish(m_relay.status(), Reason::None);
 }
 
--- a/servers/gateway/exchange.h
+++ b/servers/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include "modules/queueing/admission.h"
 #include "modules/retry/execution_tracker.h"
 #include "modules/routing/route_table.h"
+#include "modules/versions/stream_versions.h"
 #include "servers/gateway/answer_relay.h"
 #include "servers/gateway/service_context.h"
 
@@ -47,6 +48,16 @@
     Reason authenticate(const RouteTable &table);
     void prepareDemand();
 
+    /** Continues once it is known at which version the request may run. */
+    void begin();
+    /** @return true if the request takes up a stream whose first events its caller has. */
+    bool isTakeUp() const;
+    StreamKey ownStreamKey() const;
+    void onOriginKnown(const std::optional<StreamOrigin> &origin);
+    void recordFirstEvent();
+    /** @return false if no upstream can be shown to continue the stream that has begun. */
+    bool mayGoOnElsewhere() const;
+
     void admitOrHold();
     HoldQueue::SendResult trySendHeld();
     AdmissionDecision admit();
@@ -132,6 +143,8 @@
     TimePoint m_begunAt{};
     bool m_hasGoneOn = false;
     bool m_isCounted = false;
+    /** Where the stream began; set before anything of it is relayed. */
+    std::optional<StreamOrigin> m_origin;
 };
 
 } // namespace hawthornslip
--- a/servers/gateway/exchange_admission.cpp
+++ b/servers/gateway/exchange_admission.cpp
@@ -42,15 +42,16 @@
     const TimePoint now = m_gateway.parts().loop.now();
     const auto placement = m_service->balancer.place(m_demand, m_tried, now);
     if (!placement) {
-        fail(Reason::NoUpstream);
+        fail(m_origin ? Reason::VersionGone : Reason::NoUpstream);
         return AdmissionDecision::Refuse;
     }
     // Set before the decision, as the log line of a refusal reports the placement too.
     m_placement = *placement;
     recordAsked(now);
     const CallerWait wait{m_route->objective, m_spentBefore, now - m_arrivedAt};
-    const AdmissionDecision admission = decideAdmission(
-            m_demand, *placement, wait, m_service->balancer.hasSentLessUrgent(m_demand.urgency, now));
+    const AdmissionDecision admission =
+            decideAdmission(m_demand, *placement, wait,
+                            m_service->balancer.hasSentLessUrgent(m_demand.urgency, now));
     if (m_shared.workspace != 0 && !hasRoom(m_demand, *placement, wait))
         m_service->shares.workspaces().onNoRoom(now);
     if (admission == AdmissionDecision::Send)
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "modules/ownership/rendezvous_hash.h"
 #include "servers/gateway/exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hawthornslip {
@@ -15,6 +16,14 @@
     return {settings.failClosed, settings.revokeWithin};
 }
 
+Duration longestTimeout(const RoutingConfig &config)
+{
+    Duration longest{0};
+    for (const auto &it : config.routes)
+        longest = std::max(longest, it.timeout);
+    return longest;
+}
+
 DirectoryTimes directoryTimes(const GatewaySettings &settings)
 {
     DirectoryTimes times;
@@ -48,11 +57,17 @@
                        [this](std::uint64_t upstream, std::optional<double> requestsPerSecond) {
                            setRequestLimit(upstream, requestsPerSecond);
                        })
+    , m_versions(parts.loop, m_random())
     , m_infoLines(kInfoLinesPerSecond, kLinesBurst, parts.loop.now())
     , m_warningLines(kWarningLinesPerSecond, kLinesBurst, parts.loop.now())
 {
     m_promptGuard.setListing(
             [this](const UpstreamEntry &entry) { return m_state.upstreams().listing(entry); });
+    m_state.onChanged([this] {
+        m_versions.onUpstreams(m_state.upstreams().entries());
+        if (const auto &table = m_state.config().table())
+            m_versions.setLongestTimeout(longestTimeout(table->config()));
+    });
     m_promptGuard.onUpstreamEnded([this](std::uint64_t upstream, TimePoint endedAt) {
         m_state.upstreams().markEnded(upstream, endedAt, m_parts.loop.now());
     });
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "servers/gateway/scaling_source.h"
 #include "servers/gateway/service_context.h"
 #include "servers/gateway/upstream_limits.h"
+#include "servers/gateway/version_keeper.h"
 #include "servers/state/router_state.h"
 
 #include <functional>
@@ -70,6 +71,7 @@
     RouterState &state() { return m_state; }
     PromptGuard &promptGuard() { return m_promptGuard; }
     UpstreamLimits &upstreamLimits() { return m_upstreamLimits; }
+    VersionKeeper &versions() { return m_versions; }
 
     void onPeerLoad(const LoadChange &change) override;
     void onPeerDemand(std::uint64_t service, const NodeDemand &added) override;
@@ -120,6 +122,7 @@
     std::mt19937_64 m_random;
     PromptGuard m_promptGuard;
     UpstreamLimits m_upstreamLimits;
+    VersionKeeper m_versions;
     StringMap<std::unique_ptr<ServiceContext>> m_services;
     /** Longest timeout seen from callers, by route. */
     StringMap<Duration> m_callerTimeouts;
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(rejectsListsOfAnotherType);
     CPPUNIT_TEST(decodesUpstream);
     CPPUNIT_TEST(decodesReclaimableUpstream);
+    CPPUNIT_TEST(entryWithoutASoftwareVersionIsUsed);
     CPPUNIT_TEST(rejectsMalformedUpstreamEntries);
     CPPUNIT_TEST(readsCallHeaders);
     CPPUNIT_TEST(ignoresMalformedHeaders);
@@ -104,6 +105,21 @@
         CPPUNIT_ASSERT(config.value->services[1].scaling == ScalingPolicy());
     }
 
+    // Guards against upstreams that are not used because of what they leave out.
+    void entryWithoutASoftwareVersionIsUsed()
+    {
+        Json body = Json::parse(kUpstream);
+        body["version"] = "v1.2";
+        CPPUNIT_ASSERT_EQUAL(std::string("v1.2"), decodeUpstream("u", body).value->softwareVersion);
+        for (const Json &it : {Json(""), Json(), Json(7), Json::array({"v1.2"})}) {
+            body["version"] = it;
+            CPPUNIT_ASSERT(decodeUpstream("u", body).value);
+            CPPUNIT_ASSERT(decodeUpstream("u", body).value->softwareVersion.empty());
+        }
+        body.erase("version");
+        CPPUNIT_ASSERT(decodeUpstream("u", body).value->softwareVersion.empty());
+    }
+
     // Guards against an upstream that is taken for an ordinary one, or for one that stays.
     void decodesReclaimableUpstream()
     {
--- a/tests/platform/wire_headers_test.cpp
+++ b/tests/platform/wire_headers_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(unreadableLimitsAreNone);
     CPPUNIT_TEST(onlyARefusalProvesThatNothingRan);
     CPPUNIT_TEST(oddValuesDoNotSayThatAnUpstreamLeaves);
+    CPPUNIT_TEST(readsWhichAttemptBeganTheStreamThatIsTakenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +51,14 @@
             CPPUNIT_ASSERT(!dialect.readResponse(status, {}).certainlyNotRun);
     }
 
+    void readsWhichAttemptBeganTheStreamThatIsTakenUp()
+    {
+        const platform::WireHeaders dialect;
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41d07b"),
+                             dialect.readRequest({{"resumes", "9c41d07b"}}).resumes);
+        CPPUNIT_ASSERT(dialect.readRequest({}).resumes.empty());
+    }
+
     // Guards against an upstream that is kept out of use for good by an odd header.
     void oddValuesDoNotSayThatAnUpstreamLeaves()
     {
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -22,6 +22,8 @@
                 meta.timeLeft = milliseconds(std::stoll(value));
             else if (name == "last-event")
                 meta.lastEventId = std::stoull(value);
+            else if (name == "resumes")
+                meta.resumes = value;
             else if (name == "shared")
                 addPart(meta, value.substr(0, value.find(':')),
                         std::stoul(value.substr(value.find(':') + 1)));
