Refuse no stream that is taken up again on an estimate of its wait

Cause: the time since the caller's first try counted against the objective for the first event, which the caller has long had. Each take-up was therefore late, never held, and refused (deadline_unreachable) unless an engine had room at once. After reset connections many come together.

Change: a take-up is held like a new request and then sent, unless all engines of its version are full: a refusal would waste the part that its caller has.

Evidence: AdmissionTest::streamThatIsTakenUpIsNotRefusedOnAnEstimate (the member is new).

--- a/modules/queueing/admission.cpp
+++ b/modules/queueing/admission.cpp
@@ -78,6 +78,8 @@
     // It is too late to be held for a preferred upstream.
     if (roomAvailable && !areSlotsScarce(placement))
         return AdmissionDecision::Send;
+    if (wait.hasBeginning && !placement.isFull && !placement.isOverLimit)
+        return AdmissionDecision::Send;
     // While less urgent requests are sent, this one is not refused on an estimate, even if it is
     // late: the engine serves it first, and the estimate then holds back the others.
     const bool hasPrecedence = !placement.isOverLimit && demand.ownTokens > 0 && lessUrgentSent;
--- a/modules/queueing/admission.h
+++ b/modules/queueing/admission.h
@@ -23,6 +23,8 @@
     Duration spentBefore{0};
     /** Time since the current attempt arrived. */
     Duration heldFor{0};
+    /** The caller has the beginning of the answer, which a refusal would waste. */
+    bool hasBeginning = false;
 };
 
 /** @return true when @p placement can begin to serve the request soon. */
--- a/modules/queueing/tests/admission_test.cpp
+++ b/modules/queueing/tests/admission_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(doesNotHoldForMoreThanHalfOfTheObjective);
     CPPUNIT_TEST(urgentRequestGoesBeforeLessUrgentOnes);
     CPPUNIT_TEST(urgentRequestThatCameBackIsNotRefusedWhileLessUrgentOnesBegin);
+    CPPUNIT_TEST(streamThatIsTakenUpIsNotRefusedOnAnEstimate);
     CPPUNIT_TEST(largeSharedPromptWaitsForPreferredUpstream);
     CPPUNIT_TEST(waitsLongerForPreferredUpstreamWhileSlotsAreScarce);
     CPPUNIT_TEST(lateRequestTakesAFreeSlotElsewhere);
@@ -104,6 +105,17 @@
                        decideAdmission(makeDemand(), full, late, false));
     }
 
+    // Guards against wasting the part of an answer that the caller has.
+    void streamThatIsTakenUpIsNotRefusedOnAnEstimate()
+    {
+        const CallerWait wait{seconds(1), Duration(0), milliseconds(510), true};
+        auto busy = makePlacement(milliseconds(600));
+        CPPUNIT_ASSERT(AdmissionDecision::Send == decideAdmission(makeDemand(), busy, wait, false));
+        busy.isFull = true;
+        CPPUNIT_ASSERT(AdmissionDecision::Refuse ==
+                       decideAdmission(makeDemand(), busy, wait, false));
+    }
+
     // Guards against repeating the prefill of a shared prompt at an engine that happens to be
     // idle.
     void largeSharedPromptWaitsForPreferredUpstream()
--- a/servers/gateway/exchange.cpp
+++ b/servers/gateway/exchange.cpp
@@ -112,9 +112,9 @@
             m_arrivedAt + std::min(m_route->timeout, m_meta.timeLeft.value_or(m_route->timeout));
     m_timer = m_gateway.parts().loop.after(m_deadline - m_arrivedAt,
                                            [self = shared_from_this()] { self->onTimeout(); });
-    if (m_meta.timeLeft)
-        m_spentBefore = m_gateway.spentBefore(m_route->name, *m_meta.timeLeft);
     if (!isTakeUp()) {
+        if (m_meta.timeLeft)
+            m_spentBefore = m_gateway.spentBefore(m_route->name, *m_meta.timeLeft);
         begin();
         return;
     }
--- a/servers/gateway/exchange_admission.cpp
+++ b/servers/gateway/exchange_admission.cpp
@@ -48,7 +48,7 @@
     // Set before the decision, as the log line of a refusal reports the placement too.
     m_placement = *placement;
     recordAsked(now);
-    const CallerWait wait{m_route->objective, m_spentBefore, now - m_arrivedAt};
+    const CallerWait wait{m_route->objective, m_spentBefore, now - m_arrivedAt, isTakeUp()};
     const AdmissionDecision admission =
             decideAdmission(m_demand, *placement, wait,
                             m_service->balancer.hasSentLessUrgent(m_demand.urgency, now));
