Write no record of streams that end within a quarter of a second

Cause: the first event of any resumable stream asked for a write, also of a stream of three events that was complete before the write began.

Change: a write follows a first event after 250 ms and 2 ms for each node, and only if one of the streams that began meanwhile is unfinished.

--- a/modules/versions/stream_versions.cpp
+++ b/modules/versions/stream_versions.cpp
@@ -75,7 +75,7 @@
 void StreamVersions::onFirstEvent(StreamKey stream, const UpstreamEntry &upstream, UnixMillis now)
 {
     put(stream, {{upstream.service, upstream.softwareVersion}, upstream.id, now, true});
-    m_lastFirstEventAt = now;
+    m_unwritten.insert(stream);
 }
 
 void StreamVersions::put(StreamKey stream, Record record)
@@ -91,6 +91,7 @@
 void StreamVersions::onComplete(StreamKey stream)
 {
     m_records.erase(stream);
+    m_unwritten.erase(stream);
 }
 
 std::optional<StreamOrigin> StreamVersions::recordOf(StreamKey stream) const
@@ -130,8 +131,7 @@
 
 bool StreamVersions::needsJournal(UnixMillis writtenAt) const
 {
-    return m_lastFirstEventAt >= writtenAt &&
-           m_history.hasSeveral(writtenAt - toMillis(kClockSlack));
+    return !m_unwritten.empty() && m_history.hasSeveral(writtenAt - toMillis(kClockSlack));
 }
 
 void StreamVersions::learn(const std::string &node, const VersionJournal &journal, UnixMillis now)
--- a/modules/versions/stream_versions.h
+++ b/modules/versions/stream_versions.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace hawthornslip {
@@ -89,9 +90,12 @@
     /** @return what this node has to keep in the store. */
     VersionJournal journal(UnixMillis now) const;
 
+    /** Records that journal() is written; a failed write is followed by another one. */
+    void onJournalWritten() { m_unwritten.clear(); }
+
     /**
-     * @return true if this node's journal of @p writtenAt does not show the version of a stream
-     * that has begun since.
+     * @return true if this node's journal of @p writtenAt does not show the version of an
+     *         unfinished stream.
      */
     bool needsJournal(UnixMillis writtenAt) const;
 
@@ -148,7 +152,8 @@
     /** VersionJournal::completeUntil of the other nodes. */
     std::map<std::string, UnixMillis> m_completeUntil;
     std::optional<Gap> m_gap;
-    UnixMillis m_lastFirstEventAt = 0;
+    /** Unfinished streams of this node that began after its last journal. */
+    std::unordered_set<StreamKey> m_unwritten;
 };
 
 } // namespace hawthornslip
--- a/modules/versions/tests/stream_versions_test.cpp
+++ b/modules/versions/tests/stream_versions_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(upstreamThatRestartsWithItsVersionKeepsItsStreams);
     CPPUNIT_TEST(clockThatIsSetBackHidesNoVersion);
     CPPUNIT_TEST(completeStreamsAreNotKept);
+    CPPUNIT_TEST(shortStreamsNeedNoJournal);
     CPPUNIT_TEST(streamsAreBoundedInNumberAndAge);
     CPPUNIT_TEST(eachPartOfAStreamsIdentityCounts);
     CPPUNIT_TEST_SUITE_END();
@@ -125,6 +126,19 @@
         CPPUNIT_ASSERT((StreamGroup{"models", "v2", {2}}) == journal.streams.front());
     }
 
+    void shortStreamsNeedNoJournal()
+    {
+        StreamVersions versions(seconds(60));
+        versions.onUpstreams({makeEntry("a", "v1"), makeEntry("b", "v2")}, kNow);
+        versions.onFirstEvent(1, makeEntry("a", "v1"), kNow);
+        CPPUNIT_ASSERT(versions.needsJournal(kNow - kSecond));
+        versions.onComplete(1);
+        CPPUNIT_ASSERT(!versions.needsJournal(kNow - kSecond));
+        versions.onFirstEvent(2, makeEntry("a", "v1"), kNow);
+        versions.onJournalWritten();
+        CPPUNIT_ASSERT(!versions.needsJournal(kNow - kSecond));
+    }
+
     void streamsAreBoundedInNumberAndAge()
     {
         StreamVersions versions(seconds(60));
--- a/servers/gateway/version_keeper.cpp
+++ b/servers/gateway/version_keeper.cpp
@@ -13,10 +13,11 @@
 constexpr Duration kShortestMemory = seconds(60);
 constexpr int kMemoryPerTimeout = 4;
 constexpr Duration kTickInterval = milliseconds(250);
-// A stream that begins less than this before its node is killed cannot be shown to others.
-constexpr Duration kWriteInterval = milliseconds(200);
+// A stream that begins less than this before its node is killed cannot be shown to others; short
+// ones end within it and are not written.
+constexpr Duration kWriteDelay = milliseconds(250);
 // Added for each node, so that the sum of all nodes stays bounded.
-constexpr Duration kWriteIntervalPerNode = milliseconds(3);
+constexpr Duration kWriteDelayPerNode = milliseconds(2);
 // Nodes learn of a new version at the same time.
 constexpr Duration kWriteSpread = milliseconds(40);
 constexpr Duration kReadInterval = milliseconds(200);
@@ -143,7 +144,9 @@
 void VersionKeeper::tick()
 {
     m_streams.expire(m_loop.wallNow());
-    if (m_streams.needsJournal(m_writtenUntil) || m_loop.now() - m_writtenAt >= kJournalInterval)
+    if (m_streams.needsJournal(m_writtenUntil))
+        scheduleWrite(writeDelay());
+    else if (m_loop.now() - m_writtenAt >= kJournalInterval)
         scheduleWrite(Duration(0));
     m_loop.after(kTickInterval, [this] { tick(); });
 }
@@ -152,16 +155,19 @@
 {
     m_streams.onFirstEvent(stream, upstream, m_loop.wallNow());
     if (m_streams.needsJournal(m_writtenUntil))
-        scheduleWrite(Duration(0));
+        scheduleWrite(writeDelay());
+}
+
+Duration VersionKeeper::writeDelay() const
+{
+    return kWriteDelay + kWriteDelayPerNode * static_cast<std::int64_t>(m_journals);
 }
 
 void VersionKeeper::scheduleWrite(Duration delay)
 {
     if (m_store == nullptr || std::exchange(m_isWriteScheduled, true))
         return;
-    const Duration interval =
-            kWriteInterval + kWriteIntervalPerNode * static_cast<std::int64_t>(m_journals);
-    const Duration pause = m_writtenAt + interval - m_loop.now();
+    const Duration pause = m_writtenAt + writeDelay() - m_loop.now();
     m_loop.after(std::max(delay, pause), [this] {
         m_isWriteScheduled = false;
         write();
@@ -181,7 +187,9 @@
     m_writtenAt = m_loop.now();
     const UnixMillis now = m_loop.wallNow();
     m_streams.expire(now);
-    m_store->write(m_streams.journal(now), [this, now](bool done) {
+    const VersionJournal journal = m_streams.journal(now);
+    m_streams.onJournalWritten();
+    m_store->write(journal, [this, now](bool done) {
         m_isWriting = false;
         if (done)
             m_writtenUntil = now;
--- a/servers/gateway/version_keeper.h
+++ b/servers/gateway/version_keeper.h
@@ -81,6 +81,8 @@
     /** Writes after @p delay, and not more often than allowed. */
     void scheduleWrite(Duration delay);
     void write();
+    /** @return the time from the first event of a stream to the write of its record. */
+    Duration writeDelay() const;
     Duration jitter(Duration longest);
 
     EventLoop &m_loop;
