Resume no stream of the product's own interface at another software version

A stream of the daemon that broke off went on (`resume_after_tokens`) at any upstream that served its model, whatever the version of its software: the same fault as in the gateway, on the product's own path. Found by the search for the same belief; no caller was seen to get such an answer.

Cause: the configuration did not name versions, and a retry excluded only the upstreams that had failed.

Change: an upstream in the shared configuration may name `software_version`. The version that brought the first part of an answer is kept; a retry after it excludes the upstreams of other versions, and the stream ends as broken at once if none is left. The rule (mayContinue) stands once in modules/versions and serves the gateway too.

Evidence: AttemptsTest::brokenStreamIsNotJoinedFromTwoVersions and brokenStreamIsNotJoinedWithAnUnnamedVersion; they fail when the version is not kept, as before.

--- a/core/profile.h
+++ b/core/profile.h
@@ -77,6 +77,8 @@
     bool checksFencing = false;
     /** Upper bound of the adaptive limit on requests in flight. */
     std::uint32_t maxConcurrency = 64;
+    /** Version of its software; streams go on only at the version that began them. May be empty. */
+    std::string softwareVersion{};
 
     bool operator==(const Upstream &) const = default;
 };
--- a/modules/config/config_document.cpp
+++ b/modules/config/config_document.cpp
@@ -63,14 +63,17 @@
 
 OrderedJson toJson(const Upstream &upstream)
 {
-    return {{"id", upstream.id.value},
-            {"kind", nameOf(kKindNames, upstream.kind)},
-            {"url", upstream.url},
-            {"domain", upstream.domain.value},
-            {"models", idsToJson(upstream.models)},
-            {"state", nameOf(kStateNames, upstream.state)},
-            {"checks_fencing", upstream.checksFencing},
-            {"max_concurrency", upstream.maxConcurrency}};
+    OrderedJson json = {{"id", upstream.id.value},
+                        {"kind", nameOf(kKindNames, upstream.kind)},
+                        {"url", upstream.url},
+                        {"domain", upstream.domain.value},
+                        {"models", idsToJson(upstream.models)},
+                        {"state", nameOf(kStateNames, upstream.state)},
+                        {"checks_fencing", upstream.checksFencing},
+                        {"max_concurrency", upstream.maxConcurrency}};
+    if (!upstream.softwareVersion.empty())
+        json["software_version"] = upstream.softwareVersion;
+    return json;
 }
 
 template <typename Items>
@@ -122,6 +125,7 @@
     reader.readEnum("state", kStateNames, upstream.state);
     reader.read("checks_fencing", upstream.checksFencing);
     reader.read("max_concurrency", upstream.maxConcurrency);
+    reader.read("software_version", upstream.softwareVersion);
 }
 
 template <typename Item>
--- a/modules/versions/stream_versions.cpp
+++ b/modules/versions/stream_versions.cpp
@@ -1,5 +1,7 @@
 #include "modules/versions/stream_versions.h"
 
+#include "modules/versions/version_rule.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -113,7 +115,8 @@
 bool StreamVersions::isSameVersion(const StreamOrigin &origin, UnixMillis now) const
 {
     const UnixMillis since = now - toMillis(m_memory);
-    return !origin.version.empty() || m_history.onlyVersion(origin.service, since) == "";
+    const bool isUnnamed = m_history.onlyVersion(origin.service, since) == "";
+    return mayContinue(origin.version, origin.version, isUnnamed);
 }
 
 VersionJournal StreamVersions::journal(UnixMillis now) const
--- a/servers/request_path/request_run.h
+++ b/servers/request_path/request_run.h
@@ -67,6 +67,9 @@
 
     void startAttempt();
     std::string urlOf(const Attempt &attempt) const;
+    std::string versionOf(const Attempt &attempt) const;
+    /** @return false if no upstream is left that may continue what the caller has. */
+    bool mayGoOnElsewhere() const;
     void failUnknownUpstream(const AttemptRef &attempt);
     void sendAttempt(const AttemptRef &attempt);
     bool checkHeaderId(const AttemptRef &attempt);
@@ -97,6 +100,8 @@
     const PathServices &m_services;
     std::vector<AttemptRef> m_attempts;
     std::vector<UpstreamId> m_excludedUpstreams;
+    /** Software version that brought the first part of the relayed answer. */
+    std::optional<std::string> m_beganVersion;
     std::optional<RequestError> m_lastError;
     std::optional<RequestError> m_error;
     std::uint32_t m_retries = 0;
--- a/servers/request_path/request_run_attempts.cpp
+++ b/servers/request_path/request_run_attempts.cpp
@@ -2,6 +2,7 @@
 #include "core/logger.h"
 #include "core/metric_names.h"
 #include "modules/retry/retry_policy.h"
+#include "modules/versions/version_rule.h"
 #include "servers/request_path/error_answer.h"
 #include "servers/request_path/request_run.h"
 #include "servers/request_path/upstream_message.h"
@@ -26,6 +27,13 @@
     admissionRequest.tokensDone = m_context.stats.tokens;
     admissionRequest.prefixHash = m_context.prefixHash;
     admissionRequest.excluded = m_excludedUpstreams;
+    if (m_beganVersion) {
+        const auto others =
+                continuingUpstreams(*m_services.config.current(), m_context.model, *m_beganVersion)
+                        .excluded;
+        admissionRequest.excluded.insert(admissionRequest.excluded.end(), others.begin(),
+                                         others.end());
+    }
     auto attempt =
             std::make_shared<Attempt>(m_services.admission, m_services.clock, m_context.client,
                                       m_services.settings.relayBufferBytes);
@@ -43,6 +51,24 @@
     return upstream == nullptr ? std::string() : upstream->url;
 }
 
+std::string RequestRun::versionOf(const Attempt &attempt) const
+{
+    const auto config = m_services.config.current();
+    const auto *upstream = config->findUpstream(attempt.progress.grant.upstream);
+    return upstream == nullptr ? std::string() : upstream->softwareVersion;
+}
+
+bool RequestRun::mayGoOnElsewhere() const
+{
+    if (!m_beganVersion)
+        return true;
+    const auto upstreams =
+            continuingUpstreams(*m_services.config.current(), m_context.model, *m_beganVersion);
+    return std::ranges::any_of(upstreams.allowed, [this](const UpstreamId &it) {
+        return std::ranges::find(m_excludedUpstreams, it) == m_excludedUpstreams.end();
+    });
+}
+
 void RequestRun::failUnknownUpstream(const AttemptRef &attempt)
 {
     AttemptFailure failure;
@@ -97,6 +123,8 @@
     if (progress.relayed)
         return;
     progress.relayed = true;
+    if (!m_beganVersion)
+        m_beganVersion = versionOf(*attempt);
     const auto now = m_services.clock.now();
     progress.timeToFirstToken = std::max(now - attempt->sentAt(), Duration(1));
     if (m_context.stats.timeToFirstToken.count() == 0)
@@ -138,7 +166,7 @@
     attempt->stop(result);
     if (!m_attempts.empty())
         return;
-    if (!mayRetry(failure)) {
+    if (!mayGoOnElsewhere() || !mayRetry(failure)) {
         fail(failure.error);
         return;
     }
--- a/tests/servers/request_path/attempts_test.cpp
+++ b/tests/servers/request_path/attempts_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(brokenOrderIsNotRetried);
     CPPUNIT_TEST(brokenRequestIsRetriedWithinBudget);
     CPPUNIT_TEST(brokenStreamResumesAfterItsTokens);
+    CPPUNIT_TEST(brokenStreamIsNotJoinedFromTwoVersions);
+    CPPUNIT_TEST(brokenStreamIsNotJoinedWithAnUnnamedVersion);
     CPPUNIT_TEST(preemptedStreamResumes);
     CPPUNIT_TEST(preemptionOfAnOrderIsIgnored);
     CPPUNIT_TEST(plainAnswerDoesNotCompleteABrokenStream);
@@ -166,6 +168,53 @@
         CPPUNIT_ASSERT_EQUAL(2U, it.admission.asks[1].tokensDone);
     }
 
+    void brokenStreamIsNotJoinedFromTwoVersions()
+    {
+        for (const bool isVersionLeft : {true, false}) {
+            PathFixture it;
+            auto config = std::make_shared<SharedConfig>(*it.config.config);
+            config->upstreams[0].softwareVersion = "v1";
+            config->upstreams[1].softwareVersion = "v2";
+            config->upstreams[2].softwareVersion = isVersionLeft ? "v1" : "v2";
+            it.config.config = config;
+            it.then([&] {
+                it.call(0).streamHeaders();
+                it.call(0).token("a");
+                it.call(0).end(UpstreamResult::Broken);
+            });
+            if (isVersionLeft)
+                it.then([&] {
+                    it.call(1).streamHeaders();
+                    it.call(1).token("b");
+                    it.call(1).done(2);
+                });
+            auto answer = it.language("chat", true);
+            const auto text = PathFixture::readAll(answer);
+            CPPUNIT_ASSERT_EQUAL(std::string(isVersionLeft ? "ab" : "a"),
+                                 PathFixture::tokensOf(text));
+            CPPUNIT_ASSERT_EQUAL(isVersionLeft, text.ends_with("data: [DONE]\n\n"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(isVersionLeft ? 2 : 1), it.upstream.calls.size());
+            if (isVersionLeft)
+                CPPUNIT_ASSERT(it.call(1).request.url.starts_with("http://e3"));
+        }
+    }
+
+    void brokenStreamIsNotJoinedWithAnUnnamedVersion()
+    {
+        PathFixture it;
+        auto config = std::make_shared<SharedConfig>(*it.config.config);
+        config->upstreams[2].softwareVersion = "v2";
+        it.config.config = config;
+        it.then([&] {
+            it.call(0).streamHeaders();
+            it.call(0).token("a");
+            it.call(0).end(UpstreamResult::Broken);
+        });
+        auto answer = it.language("chat", true);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), PathFixture::tokensOf(PathFixture::readAll(answer)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.upstream.calls.size());
+    }
+
     // Guards against a preempted stream that is cut off, or that keeps its slot instead of yielding
     // it to the order.
     void preemptedStreamResumes()
