Drop no record that the absence of a stream is concluded from

Three kinds of older streams were in none: those sent whole whose last bytes got lost with their connection, those whose upstream had come back under its id with another version, and those beyond the bound in number.

--- a/modules/versions/stream_versions.cpp
+++ b/modules/versions/stream_versions.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxStreams = 65'536;
 // Wall clocks of nodes and upstreams differ by less.
 constexpr Duration kClockSlack = seconds(3);
+// In this time a caller notices that the end of its stream got lost, and takes it up.
+constexpr Duration kCompleteMemory = seconds(20);
 // For a write that is repeated.
 constexpr Duration kLateJournal = seconds(10);
 
@@ -57,9 +59,9 @@
             continue;
         // Without a time of start, any stream may have begun at the later process.
         const auto slack = static_cast<std::uint64_t>(toMillis(kClockSlack));
-        forgetStreamsOf(it.id, process.bornMs > slack
-                                       ? static_cast<UnixMillis>(process.bornMs - slack)
-                                       : UnixMillis(0));
+        forgetVersions(it.id, process.bornMs > slack
+                                      ? static_cast<UnixMillis>(process.bornMs - slack)
+                                      : UnixMillis(0));
     }
     std::erase_if(m_processes, [&entries](const auto &it) {
         return std::ranges::find(entries, it.first, &UpstreamEntry::id) == entries.end();
@@ -67,33 +69,50 @@
     return isNew;
 }
 
-void StreamVersions::forgetStreamsOf(const UpstreamId &upstream, UnixMillis since)
+void StreamVersions::forgetVersions(const UpstreamId &upstream, UnixMillis since)
 {
-    std::erase_if(m_records, [&upstream, since](const auto &it) {
-        return it.second.upstream == upstream && it.second.beganAt >= since;
-    });
+    // The records stay: without one, a stream would count as younger than the journals.
+    for (auto &[stream, record] : m_records) {
+        if (record.upstream == upstream && record.beganAt >= since)
+            record.origin.version.clear();
+    }
 }
 
 void StreamVersions::onFirstEvent(StreamKey stream, const UpstreamEntry &upstream, UnixMillis now)
 {
-    put(stream, {{upstream.service, upstream.softwareVersion}, upstream.id, now, true});
+    put(stream, {{upstream.service, upstream.softwareVersion}, upstream.id, now, true}, now);
     m_unwritten.insert(stream);
 }
 
-void StreamVersions::put(StreamKey stream, Record record)
+void StreamVersions::put(StreamKey stream, Record record, UnixMillis now)
 {
     m_order.emplace_back(record.beganAt, stream);
     m_records[stream] = std::move(record);
-    while (m_records.size() > kMaxStreams) {
-        m_records.erase(m_order.front().second);
-        m_order.pop_front();
-    }
+    while (m_records.size() > kMaxStreams)
+        evictOldest(now);
+}
+
+void StreamVersions::evictOldest(UnixMillis now)
+{
+    const auto [beganAt, stream] = m_order.front();
+    m_order.pop_front();
+    const auto it = m_records.find(stream);
+    if (it == m_records.end())
+        return;
+    if (it->second.isOwn)
+        m_gap = Gap{m_gap ? std::min(m_gap->from, beganAt) : beganAt, now};
+    m_records.erase(it);
+    m_unwritten.erase(stream);
 }
 
-void StreamVersions::onComplete(StreamKey stream)
+void StreamVersions::onComplete(StreamKey stream, UnixMillis now)
 {
-    m_records.erase(stream);
     m_unwritten.erase(stream);
+    const auto it = m_records.find(stream);
+    if (it == m_records.end())
+        return;
+    it->second.isComplete = true;
+    m_complete.emplace_back(now, stream);
 }
 
 std::optional<StreamOrigin> StreamVersions::recordOf(StreamKey stream) const
@@ -141,14 +160,14 @@
 {
     m_completeUntil[node] = journal.completeUntil;
     learnVersions(journal, now);
-    learnStreams(journal, false);
+    learnStreams(journal, false, now);
 }
 
 void StreamVersions::learnOwn(const VersionJournal &journal, UnixMillis now)
 {
     m_gap = Gap{journal.completeUntil, now};
     learnVersions(journal, now);
-    learnStreams(journal, true);
+    learnStreams(journal, true, now);
 }
 
 void StreamVersions::learnVersions(const VersionJournal &journal, UnixMillis now)
@@ -162,13 +181,13 @@
     }
 }
 
-void StreamVersions::learnStreams(const VersionJournal &journal, bool isOwn)
+void StreamVersions::learnStreams(const VersionJournal &journal, bool isOwn, UnixMillis now)
 {
     for (const auto &group : journal.streams) {
         for (const auto stream : group.streams) {
             if (!m_records.contains(stream))
                 put(stream,
-                    {{group.service, group.version}, std::nullopt, journal.writtenAt, isOwn});
+                    {{group.service, group.version}, std::nullopt, journal.writtenAt, isOwn}, now);
         }
     }
 }
@@ -183,6 +202,13 @@
     std::erase_if(m_completeUntil, [oldest](const auto &it) { return it.second < oldest; });
     if (m_gap && m_gap->until < oldest)
         m_gap.reset();
+    while (!m_complete.empty() && m_complete.front().first + toMillis(kCompleteMemory) < now) {
+        const auto it = m_records.find(m_complete.front().second);
+        // It may have been taken up again since.
+        if (it != m_records.end() && it->second.isComplete)
+            m_records.erase(it);
+        m_complete.pop_front();
+    }
     while (!m_order.empty() && m_order.front().first < oldest) {
         const auto it = m_records.find(m_order.front().second);
         // A stream that was recorded again has a later place in the order too.
--- a/modules/versions/stream_versions.h
+++ b/modules/versions/stream_versions.h
@@ -62,8 +62,8 @@
     void setMemory(Duration memory);
 
     /**
-     * Records the listed upstreams. Streams that may have begun at a process which started under
-     * the id of an earlier one are forgotten.
+     * Records the listed upstreams. The version of streams that may have begun at a process which
+     * started under the id of an earlier one is not known any more.
      *
      * @return true if a service has a version that was not remembered.
      */
@@ -72,8 +72,8 @@
     /** Records that the first event of a stream came from @p upstream. */
     void onFirstEvent(StreamKey stream, const UpstreamEntry &upstream, UnixMillis now);
 
-    /** Forgets a stream whose caller has all of it. */
-    void onComplete(StreamKey stream);
+    /** Forgets a stream that was sent whole once its caller has noticed if the end got lost. */
+    void onComplete(StreamKey stream, UnixMillis now);
 
     /** @return where @p stream began, if a record shows it. */
     std::optional<StreamOrigin> recordOf(StreamKey stream) const;
@@ -122,6 +122,7 @@
         std::optional<UpstreamId> upstream;
         UnixMillis beganAt = 0;
         bool isOwn = false;
+        bool isComplete = false;
     };
     struct Process
     {
@@ -138,15 +139,18 @@
     };
 
     void learnVersions(const VersionJournal &journal, UnixMillis now);
-    void learnStreams(const VersionJournal &journal, bool isOwn);
-    void put(StreamKey stream, Record record);
-    void forgetStreamsOf(const UpstreamId &upstream, UnixMillis since);
+    void learnStreams(const VersionJournal &journal, bool isOwn, UnixMillis now);
+    void put(StreamKey stream, Record record, UnixMillis now);
+    void forgetVersions(const UpstreamId &upstream, UnixMillis since);
+    void evictOldest(UnixMillis now);
 
     Duration m_memory;
     VersionHistory m_history;
     std::unordered_map<StreamKey, Record> m_records;
     /** Keys of m_records with beganAt, in the order of put(). */
     std::deque<std::pair<UnixMillis, StreamKey>> m_order;
+    /** Complete streams with the time at which they were sent whole. */
+    std::deque<std::pair<UnixMillis, StreamKey>> m_complete;
     /** The processes of the listed upstreams. */
     std::map<UpstreamId, Process> m_processes;
     /** VersionJournal::completeUntil of the other nodes. */
--- a/modules/versions/tests/stream_versions_test.cpp
+++ b/modules/versions/tests/stream_versions_test.cpp
@@ -103,7 +103,8 @@
         entry.softwareVersion = "v2";
         versions.onUpstreams({entry}, kNow + 21 * kSecond);
         CPPUNIT_ASSERT(versions.recordOf(1));
-        CPPUNIT_ASSERT(!versions.recordOf(2));
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), versions.recordOf(1)->version);
+        CPPUNIT_ASSERT(versions.recordOf(2)->version.empty());
     }
 
     void clockThatIsSetBackHidesNoVersion()
@@ -120,8 +121,11 @@
         StreamVersions versions(seconds(60));
         versions.onFirstEvent(1, makeEntry("a", "v1"), kNow);
         versions.onFirstEvent(2, makeEntry("b", "v2"), kNow);
-        versions.onComplete(1);
-        const auto journal = versions.journal(kNow);
+        versions.onComplete(1, kNow);
+        // The end may have got lost on the way to its caller.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, versions.journal(kNow).streams.size());
+        versions.expire(kNow + 21 * kSecond);
+        const auto journal = versions.journal(kNow + 21 * kSecond);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, journal.streams.size());
         CPPUNIT_ASSERT((StreamGroup{"models", "v2", {2}}) == journal.streams.front());
     }
@@ -132,7 +136,7 @@
         versions.onUpstreams({makeEntry("a", "v1"), makeEntry("b", "v2")}, kNow);
         versions.onFirstEvent(1, makeEntry("a", "v1"), kNow);
         CPPUNIT_ASSERT(versions.needsJournal(kNow - kSecond));
-        versions.onComplete(1);
+        versions.onComplete(1, kNow);
         CPPUNIT_ASSERT(!versions.needsJournal(kNow - kSecond));
         versions.onFirstEvent(2, makeEntry("a", "v1"), kNow);
         versions.onJournalWritten();
@@ -146,6 +150,8 @@
             versions.onFirstEvent(key, makeEntry("a", "v1"), kNow);
         CPPUNIT_ASSERT(versions.size() < 70'000);
         CPPUNIT_ASSERT(versions.recordOf(99'999));
+        // What was dropped is not taken for younger than the journal.
+        CPPUNIT_ASSERT_EQUAL(kNow, versions.journal(kNow + kSecond).completeUntil);
         versions.expire(kNow + 61 * kSecond);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, versions.size());
     }
--- a/servers/gateway/version_keeper.h
+++ b/servers/gateway/version_keeper.h
@@ -48,7 +48,7 @@
     void onFirstEvent(StreamKey stream, const UpstreamEntry &upstream);
 
     /** Records that the caller has all of a stream. */
-    void onComplete(StreamKey stream) { m_streams.onComplete(stream); }
+    void onComplete(StreamKey stream) { m_streams.onComplete(stream, m_loop.wallNow()); }
 
     /** Finds out where @p stream of @p service began; @p answer may be called at once. */
     void resolve(StreamKey stream, const std::string &service, Answer answer);
