Forget a version once the entries of its upstreams are dropped

After a release each node went on to count the version that had left as listed, until the list changed again: take-ups without a record were refused (version_unknown) and journals written with several versions for as long.

Cause: entries of removed upstreams stay as a fallback for a while and are dropped later without a change of the list, which the keeper of versions waited for.

Change: each tick of the keeper looks at the directory's revision.

Evidence: StreamVersionTest::versionThatLeftIsForgottenAfterAWhile.

--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -63,8 +63,9 @@
 {
     m_promptGuard.setListing(
             [this](const UpstreamEntry &entry) { return m_state.upstreams().listing(entry); });
+    m_versions.setRefresh([this] { refreshVersions(); });
     m_state.onChanged([this] {
-        m_versions.onUpstreams(m_state.upstreams().entries());
+        refreshVersions();
         if (const auto &table = m_state.config().table())
             m_versions.setLongestTimeout(longestTimeout(table->config()));
     });
@@ -75,6 +76,14 @@
 
 Gateway::~Gateway() = default;
 
+void Gateway::refreshVersions()
+{
+    auto &upstreams = m_state.upstreams();
+    upstreams.expire(m_parts.loop.now());
+    if (std::exchange(m_versionsRevision, upstreams.revision()) != upstreams.revision())
+        m_versions.onUpstreams(upstreams.entries());
+}
+
 std::shared_ptr<CallerEvents> Gateway::onRequest(HttpRequest request,
                                                  std::shared_ptr<ResponseWriter> writer)
 {
--- a/servers/gateway/gateway.h
+++ b/servers/gateway/gateway.h
@@ -114,6 +114,8 @@
     bool mayLogRequest(LogLevel level);
 
 private:
+    /** Tells the keeper of versions which upstreams are listed. */
+    void refreshVersions();
     void setRequestLimit(std::uint64_t upstream, std::optional<double> requestsPerSecond);
 
     GatewayParts m_parts;
@@ -123,6 +125,8 @@
     PromptGuard m_promptGuard;
     UpstreamLimits m_upstreamLimits;
     VersionKeeper m_versions;
+    /** Revision of the upstream directory that the keeper was last told. */
+    std::uint64_t m_versionsRevision = 0;
     StringMap<std::unique_ptr<ServiceContext>> m_services;
     /** Longest timeout seen from callers, by route. */
     StringMap<Duration> m_callerTimeouts;
--- a/servers/gateway/version_keeper.cpp
+++ b/servers/gateway/version_keeper.cpp
@@ -143,6 +143,9 @@
 
 void VersionKeeper::tick()
 {
+    // Entries of removed upstreams are dropped without a change of the list.
+    if (m_refresh)
+        m_refresh();
     m_streams.expire(m_loop.wallNow());
     if (m_streams.needsJournal(m_writtenUntil))
         scheduleWrite(writeDelay());
--- a/servers/gateway/version_keeper.h
+++ b/servers/gateway/version_keeper.h
@@ -41,6 +41,9 @@
     /** Sets the longest time that a route lets a request take. */
     void setLongestTimeout(Duration timeout);
 
+    /** Sets the task that hands over the listed upstreams if they have changed. */
+    void setRefresh(EventLoop::Task refresh) { m_refresh = std::move(refresh); }
+
     /** Handles the listed upstreams, after each change. */
     void onUpstreams(const std::vector<UpstreamEntry> &entries);
 
@@ -89,6 +92,7 @@
     std::mt19937_64 m_random;
     StreamVersions m_streams;
     VersionStore *m_store = nullptr;
+    EventLoop::Task m_refresh;
     std::vector<Waiting> m_waiting;
     std::size_t m_journals = 0;
     bool m_isFirstRead = true;
--- a/tests/servers/gateway/stream_version_test.cpp
+++ b/tests/servers/gateway/stream_version_test.cpp
@@ -193,6 +193,7 @@
     CPPUNIT_TEST(unnamedVersionIsNotTakenForANamedOne);
     CPPUNIT_TEST(withoutTheStoreOnlyTheNodeThatRelayedAStreamGoesOn);
     CPPUNIT_TEST(upstreamThatCameBackUnderItsIdWithAnotherVersionIsNotTrusted);
+    CPPUNIT_TEST(versionThatLeftIsForgottenAfterAWhile);
     CPPUNIT_TEST(manyTakeUpsShareFewReads);
     CPPUNIT_TEST(streamsOfOneVersionAreNotWrittenOneByOne);
     CPPUNIT_TEST_SUITE_END();
@@ -406,6 +407,16 @@
         checkRefused(takeUp(1, "r1"));
     }
 
+    // Guards against take-ups that are refused for good after a release.
+    void versionThatLeftIsForgottenAfterAWhile()
+    {
+        m_nodes->list({makeEntry("b1", "v2"), makeEntry("b2", "v2")});
+        m_nodes->fleet.loop.advance(seconds(90));
+        const auto calls = m_client.calls.size();
+        call(1, "/draft/1", {{"id", "t1"}, {"last-event", "1"}});
+        CPPUNIT_ASSERT_EQUAL(calls + 1, m_client.calls.size());
+    }
+
     // Guards against a lookup in the store for each request.
     void manyTakeUpsShareFewReads()
     {
