--- a/tests/platform/version_store_test.cpp
+++ b/tests/platform/version_store_test.cpp
@@ -133,15 +133,12 @@
     }
 
     /** @return the object that a write sends. */
-    std::string written()
+    static std::string written()
     {
-        static const std::string object = [] {
-            PreparedClient client;
-            client.answers = {{200, "{}"}};
-            ObjectVersionStore(client, "10.0.0.2:90", "10.0.0.1:70").write(kJournal, [](bool) {});
-            return client.requests.at(0).body;
-        }();
-        return object;
+        PreparedClient client;
+        client.answers = {{200, "{}"}};
+        ObjectVersionStore(client, "10.0.0.2:90", "10.0.0.1:70").write(kJournal, [](bool) {});
+        return client.requests.at(0).body;
     }
 
     /** Writes, then reads all objects. */
