Let callers know that a stream cannot be taken up elsewhere either

Cause: their Retry-After was that of a node that is short of something, up to 0.6 s, though no other node can show the version, and none brings it back.

Change: both refusals name the rest of the caller's time, after which callers do not return.

--- a/servers/gateway/exchange_admission.cpp
+++ b/servers/gateway/exchange_admission.cpp
@@ -107,6 +107,9 @@
     if (reason == Reason::PromptQuarantined)
         return m_quarantineLeft;
     const Duration left = m_route == nullptr ? seconds(1) : timeLeft();
+    // Another try would end in the same way: no node can show more, or bring a version back.
+    if (reason == Reason::VersionUnknown || reason == Reason::VersionGone)
+        return left;
     const bool isOverload = reason == Reason::DeadlineUnreachable || reason == Reason::QueueFull;
     return isOverload ? overloadRetryDelay(left, m_gateway.random())
                       : localRefusalRetryDelay(left, m_gateway.random());
--- a/tests/servers/gateway/stream_version_test.cpp
+++ b/tests/servers/gateway/stream_version_test.cpp
@@ -515,6 +515,9 @@
         CPPUNIT_ASSERT(view->ended);
         CPPUNIT_ASSERT(view->body.find("\"not_run\"") != std::string::npos);
         CPPUNIT_ASSERT(view->body.find("version_") != std::string::npos);
+        // Callers do not come back after more than a third of their time, in vain.
+        const auto *retryAfter = findHeader(view->headers, "Retry-After");
+        CPPUNIT_ASSERT(retryAfter != nullptr && std::stod(*retryAfter) > 5);
     }
 
     CallRecorder m_client;
