--- a/review/standins-3/model_worker.h
+++ b/review/standins-3/model_worker.h
@@ -202,7 +202,8 @@
     const std::string body = "{\"prompt\":\"chair\"}";
     return "POST " + routePath() + "2f HTTP/1.1\r\nHost: models.example\r\n" +
            "X-Hawthornslip-Attempt-Id: " + attempt + "\r\nX-Hawthornslip-Deadline-Ms: 15000\r\n" +
-           "X-Hawthornslip-Model: m\r\nX-Hawthornslip-Token-Usage: 300,200\r\n" +
+           "X-Hawthornslip-Model: m\r\nX-Hawthornslip-Token-Usage: " +
+           std::to_string(300 + 16 * ownParts) + ",200\r\n" +
            "X-Hawthornslip-Prefix-Hash: " + promptParts(attempt, ownParts) + "\r\n" + more +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
